Readers without a writer beside them cost one more move instead of being left out

Cause: leaving out every reader of a cell whose writers had no room sent all prompts to the other cell's readers, and sessions lost their kept text each time the verdict flipped. Now such a reader's work counts its prompt twice, for the move. May hurt where the shared link is the bottleneck.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -291,26 +291,26 @@
         }
     }
 
-    /// Readers with a writer beside them first; among them the least prompt work.
+    /// The reader with least prompt work. Where no writer beside it has room its state has to be moved once more,
+    /// so its prompt counts twice: readers with a writer beside them come first until they have that much to do.
     fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
         let beside = |cell| {
-            self.servers.values().any(|s| {
-                s.listing.cell == cell
-                    && self.role(s) == Role::Writer
-                    && self.ready(now, s)
-                    && self.has_room(now, s, seq)
-            })
+            let mut near =
+                self.servers.values().filter(|s| s.listing.cell == cell && self.role(s) == Role::Writer);
+            near.any(|s| self.ready(now, s) && self.has_room(now, s, seq))
         };
-        let least = |near: bool, sound: bool| {
+        let least = |sound: bool| {
             let open = self.servers.values().filter(|s| {
                 self.role(s) == Role::Reader
                     && (if sound { self.ready(now, s) } else { self.allowed(now, s) })
                     && self.in_scope(now, seq, s)
-                    && (!near || beside(s.listing.cell))
             });
-            least_by(open, |s| self.read_work(now, s, seq))
+            least_by(open, |s| {
+                let far = if beside(s.listing.cell) { 0.0 } else { seq.prompt_tokens };
+                self.read_work(now, s, seq) + far
+            })
         };
-        least(true, true).or_else(|| least(false, true)).or_else(|| least(false, false))
+        least(true).or_else(|| least(false))
     }
 
     /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first.
