Mixed servers go by load and one unread prompt at a time

A mixed server now takes a sequence whole while it holds less than the least loaded writer and every own prompt there has begun its answer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -130,7 +130,6 @@
     tenants: Vec<DecayingSum>,
     /// Nanoseconds a prompt token takes at a reader, queue included.
     read_pace: FadingTimes,
-    mixed_owed: f64,
     refusals: u32,
 }
 
@@ -144,7 +143,6 @@
             arrivals: rate.clone(),
             tenants: vec![rate; deployment.tenants.len()],
             read_pace: FadingTimes::new(HALF_LIFE),
-            mixed_owed: 0.0,
             refusals: 0,
             deployment,
         }
@@ -331,29 +329,22 @@
             .or_else(|| least(&|_| true))
     }
 
-    /// Mixed servers take their share of sequences whole: as much as their weight among all servers.
-    fn pick_mixed(&mut self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
-        let weigh = |mixed_only: bool| -> f64 {
-            let ready = self.servers.values().filter(|s| self.ready(now, s));
-            ready.filter(|s| !mixed_only || self.role(s) == Role::Mixed).map(|s| self.weight(s)).sum()
+    /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer and
+    /// has begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at a time.
+    fn pick_mixed(&self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
+        let least = |role: Role| {
+            let open = self.servers.values().filter(|s| {
+                self.role(s) == role
+                    && self.ready(now, s)
+                    && self.has_room(now, s, seq)
+                    && self.in_scope(now, seq, s)
+                    && (role == Role::Writer || s.out.iter().all(|out| !out.waiting))
+            });
+            least_by(open, |s| self.decode_load(now, s))
         };
-        let (mixed, all) = (weigh(true), weigh(false));
-        if mixed <= 0.0 {
-            return None;
-        }
-        self.mixed_owed = (self.mixed_owed + mixed / all).min(2.0);
-        if self.mixed_owed < 1.0 {
-            return None;
-        }
-        let open = self.servers.values().filter(|s| {
-            self.role(s) == Role::Mixed
-                && self.ready(now, s)
-                && self.has_room(now, s, seq)
-                && self.in_scope(now, seq, s)
-        });
-        let picked = least_by(open, |s| self.decode_load(now, s))?;
-        self.mixed_owed -= 1.0;
-        Some(picked)
+        let mixed = least(Role::Mixed)?;
+        let load = |id: ServerId| self.decode_load(now, &self.servers[&id]);
+        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then_some(mixed)
     }
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
