Overload guess takes the read pace from totals, not from the middle of ratios

Cause: a short read's fixed cost, spread over its few tokens, made a long prompt look slow, so sequences were refused that had time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -128,8 +128,9 @@
     servers: BTreeMap<ServerId, Server>,
     arrivals: DecayingSum,
     tenants: Vec<DecayingSum>,
-    /// Nanoseconds a prompt token takes at a reader, queue included.
-    read_pace: FadingTimes,
+    /// Time that reads took, and the prompt work they were sent into.
+    read_time: DecayingSum,
+    read_tokens: DecayingSum,
     refusals: u32,
 }
 
@@ -141,8 +142,9 @@
             chance: Rand64::new(seed.into()),
             servers: BTreeMap::new(),
             arrivals: rate.clone(),
-            tenants: vec![rate; deployment.tenants.len()],
-            read_pace: FadingTimes::new(HALF_LIFE),
+            tenants: vec![rate.clone(); deployment.tenants.len()],
+            read_time: rate.clone(),
+            read_tokens: rate,
             refusals: 0,
             deployment,
         }
@@ -267,10 +269,7 @@
         if attempt.step != Step::Read && self.effect(seq) == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
-        let usual = match attempt.step {
-            Step::Read => self.read_pace.quantile(now, HIGH).map(|pace| pace * attempt.tokens),
-            _ => self.fellows(now, self.servers[&attempt.server].listing.kind, None),
-        };
+        let usual = self.fellows(now, self.servers[&attempt.server].listing.kind, None);
         let least = self.slo(seq) as f64 / 2.0;
         (usual.map_or(least, |usual| (SLOW * usual).max(least)) as Nanos).min(left)
     }
@@ -441,7 +440,7 @@
             return false;
         }
         let chosen = &self.servers[&server];
-        let pace = self.read_pace.quantile(now, 0.0).unwrap_or(0.0);
+        let pace = self.read_time.read(now) / self.read_tokens.read(now).max(1.0);
         let read = pace * self.read_work(now, chosen, seq);
         let answer = |s: &Server| {
             let middle = s.times.quantile(now, 0.0).unwrap_or(0.0);
@@ -595,7 +594,8 @@
             Outcome::ReadDone { kept } => {
                 server.answer(now);
                 server.times.add(now, rtt as f64);
-                self.read_pace.add(now, rtt as f64 / attempt.tokens.max(1.0));
+                self.read_time.add(now, rtt as f64);
+                self.read_tokens.add(now, attempt.tokens);
                 if kept + 1.0 < attempt.credit / 2.0 {
                     server.kept.retain(|_, text| text.read_before >= server.read_in_all);
                 }
