--- a/src/brain.rs
+++ b/src/brain.rs
@@ -440,23 +440,23 @@
             return false;
         }
         let chosen = &self.servers[&server];
-        let pace = self.read_time.read(now) / self.read_tokens.read(now).max(1.0);
-        let read = pace * self.read_work(now, chosen, seq);
         let answer = |s: &Server| {
             let middle = s.times.quantile(now, 0.0).unwrap_or(0.0);
             middle.max(s.waited(now) as f64)
         };
-        let write = if step == Step::Whole {
+        let wait = if step == Step::Whole {
             answer(chosen)
         } else {
+            let pace = self.read_time.read(now) / self.read_tokens.read(now).max(1.0);
             let near = self.servers.values().filter(|s| {
                 s.listing.cell == chosen.listing.cell && self.role(s) == Role::Writer && self.allowed(now, s)
             });
-            near.map(answer).min_by(f64::total_cmp).unwrap_or(0.0)
+            let write = near.map(answer).min_by(f64::total_cmp).unwrap_or(0.0);
+            pace * self.read_work(now, chosen, seq) + write
         };
         let slack = 0.5 + 0.5 * self.value(now, seq);
         let left = (self.slo(seq) as f64).min(seq.abandon_at.saturating_sub(now) as f64);
-        read + write > left * slack
+        wait > left * slack
     }
 
     /// Utility against the highest, less for a tenant past its share.
