--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,7 +269,12 @@
         if attempt.step != Step::Read && self.effect(seq) == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
-        let usual = self.fellows(now, self.servers[&attempt.server].listing.kind, None);
+        let fellows = self.fellows(now, self.servers[&attempt.server].listing.kind, None);
+        let usual = match attempt.step {
+            // A queue is no reason to read elsewhere anew.
+            Step::Read => fellows.map(|fellows| fellows.max(self.read_pace(now) * attempt.tokens)),
+            _ => fellows,
+        };
         let least = self.slo(seq) as f64 / 2.0;
         (usual.map_or(least, |usual| (SLOW * usual).max(least)) as Nanos).min(left)
     }
@@ -419,6 +424,11 @@
         queued + seq.prompt_tokens - self.credit(server, seq)
     }
 
+    /// Nanoseconds that a token of prompt work has taken of late, hidden queues included.
+    fn read_pace(&self, now: Nanos) -> f64 {
+        self.read_time.read(now) / self.read_tokens.read(now).max(1.0)
+    }
+
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways'
     /// part.
     fn credit(&self, server: &Server, seq: &Sequence) -> f64 {
@@ -447,12 +457,11 @@
         let wait = if step == Step::Whole {
             answer(chosen)
         } else {
-            let pace = self.read_time.read(now) / self.read_tokens.read(now).max(1.0);
             let near = self.servers.values().filter(|s| {
                 s.listing.cell == chosen.listing.cell && self.role(s) == Role::Writer && self.allowed(now, s)
             });
             let write = near.map(answer).min_by(f64::total_cmp).unwrap_or(0.0);
-            pace * self.read_work(now, chosen, seq) + write
+            self.read_pace(now) * self.read_work(now, chosen, seq) + write
         };
         let slack = 0.5 + 0.5 * self.value(now, seq);
         let left = (self.slo(seq) as f64).min(seq.abandon_at.saturating_sub(now) as f64);
