A reported memory share fades only where no own stream will renew it

The design takes the last report as it is; only a report that nothing of ours will renew fades now, or a server once full would never be tried again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -394,14 +394,15 @@
         self.decode_load(now, server) + self.stream_tokens(seq) / self.memory(server) <= FULL
     }
 
-    /// The reported share of memory with own streams since, never less than all own streams out.
+    /// The reported share of memory with own streams since, never less than all own streams out. A report that
+    /// nothing of ours will renew fades, or a server once full would never be tried again.
     fn decode_load(&self, now: Nanos, server: &Server) -> f64 {
         let own = server.own_tokens(0) / self.memory(server);
         let Some(share) = server.report.memory_share else { return own };
-        let age = now.saturating_sub(server.reported);
-        let faded = share * (-(age as f64) / HALF_LIFE as f64).exp2();
+        let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
+        let share = share * (-(age as f64) / HALF_LIFE as f64).exp2();
         let since = server.own_tokens(server.reported.saturating_sub(REPORT_LAG)) / self.memory(server);
-        own.max(faded + since)
+        own.max(share + since)
     }
 
     /// Queued prompt tokens, reported or own, and this prompt less what the reader should have kept of it.
