Overload: nothing is read when no writer anywhere has room for its utility

A sequence is now refused before its read when the emptiest ready writer is fuller than its utility may fill; a fifth of the memory is kept for the highest utility. May hurt where memory reports run high but streams end quickly.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const FULL_PAUSE: Nanos = 250_000_000;
 /// A writer reported or reckoned fuller than this has no room.
 const FULL: f64 = 0.95;
+/// Part of the emptiest writer's memory that is kept for sequences worth more.
+const RESERVE: f64 = 0.2;
 /// Part of the latency SLO after which a sequence that nothing can take is given up.
 const HOLD: f64 = 0.5;
 /// Pause before asking again for a sequence that nothing could take.
@@ -458,7 +460,13 @@
             let write = near.map(answer).min_by(f64::total_cmp).unwrap_or(0.0);
             self.read_pace(now) * self.read_work(now, chosen, seq) + write
         };
-        let slack = 0.5 + 0.5 * self.value(now, seq);
+        let value = self.value(now, seq);
+        let answering = self.servers.values().filter(|s| self.role(s) != Role::Reader && self.ready(now, s));
+        let load = answering.map(|s| self.decode_load(now, s)).min_by(f64::total_cmp);
+        if load.is_some_and(|load| load > FULL - (1.0 - value) * RESERVE) {
+            return true;
+        }
+        let slack = 0.5 + 0.5 * value;
         let left = (self.slo(seq) as f64).min(seq.abandon_at.saturating_sub(now) as f64);
         wait > left * slack
     }
