Sessions unknown to a gateway are drawn to a home reader in its hall that all agree on

A session that the table does not know now counts a quarter of its prompt as kept at its home reader: the highest hash of session and server among the ready readers of the gateway's own hall. Server ids are now the same number at every gateway. Also holds for sessions that change gateways. May hurt where sessions are short, by crowding.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -12,8 +12,7 @@
     number: u64,
     brain: Brain,
     names: Names,
-    servers: Vec<String>,
-    server_ids: HashMap<String, ServerId>,
+    servers: HashMap<ServerId, String>,
     sequences: HashMap<SeqId, Sequence>,
 }
 
@@ -27,8 +26,7 @@
             number,
             brain: Brain::new(now, deployment, line.whole("prng")?),
             names,
-            servers: Vec::new(),
-            server_ids: HashMap::new(),
+            servers: HashMap::new(),
             sequences: HashMap::new(),
         })
     }
@@ -87,10 +85,10 @@
 
     fn listing(&mut self, line: &Line) -> Result<Listing, Malformed> {
         let name = line.need("server")?;
-        let server = *self.server_ids.entry(name.to_owned()).or_insert_with(|| {
-            self.servers.push(name.to_owned());
-            ServerId(self.servers.len() as u32 - 1)
-        });
+        let server = server_id(name);
+        if self.servers.entry(server).or_insert_with(|| name.to_owned()) != name {
+            return Err(format!("SERVER: field server: '{name}' cannot be told from another name"));
+        }
         Ok(Listing {
             server,
             kind: KindId(line.index("flavor", &self.names.kinds)?),
@@ -151,9 +149,9 @@
 
     /// A load report, if the line carries one.
     pub fn report(&mut self, now: Nanos, line: &Line) -> Result<(), Malformed> {
-        let server = self.server_ids.get(line.need("server")?);
-        if let (Some(report), Some(server)) = (line.report(&self.names.report)?, server) {
-            self.brain.reported(now, *server, report);
+        let server = server_id(line.need("server")?);
+        if let Some(report) = line.report(&self.names.report)? {
+            self.brain.reported(now, server, report);
         }
         Ok(())
     }
@@ -184,7 +182,7 @@
         let (i, ticket) = (self.number, id.0);
         let released = match self.brain.schedule(now, seq) {
             Schedule::Send(server) => {
-                let (limit, name) = (self.brain.wait(now, seq).max(1), &self.servers[server.0 as usize]);
+                let (limit, name) = (self.brain.wait(now, seq).max(1), &self.servers[&server]);
                 let _ = writeln!(reply, "FORWARD i={i} ticket={ticket:016x} tryFor={limit} server={name}");
                 return;
             }
@@ -221,3 +219,9 @@
         }
     }
 }
+
+/// A number for a server's name that is the same at every gateway (FNV-1a).
+fn server_id(name: &str) -> ServerId {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const FULL: f64 = 0.95;
 /// Part of the emptiest writer's memory that is kept for sequences worth more.
 const RESERVE: f64 = 0.2;
+/// Part of a prompt that a session's home reader is hoped to have kept.
+const HOME: f64 = 0.25;
 /// Part of the latency SLO after which a sequence that nothing can take is given up.
 const HOLD: f64 = 0.5;
 /// Pause before asking again for a sequence that nothing could take.
@@ -299,6 +301,7 @@
                 self.servers.values().filter(|s| s.listing.cell == cell && self.role(s) == Role::Writer);
             near.any(|s| self.ready(now, s) && self.has_room(now, s, seq))
         };
+        let home = self.home(seq);
         let least = |sound: bool| {
             let open = self.servers.values().filter(|s| {
                 self.role(s) == Role::Reader
@@ -307,12 +310,27 @@
             });
             least_by(open, |s| {
                 let far = if beside(s.listing.cell) { 0.0 } else { seq.prompt_tokens };
-                self.read_work(now, s, seq) + far
+                let home = if home == Some(s.listing.server) { HOME * seq.prompt_tokens } else { 0.0 };
+                self.read_work(now, s, seq) + far - home
             })
         };
         least(true).or_else(|| least(false))
     }
 
+    /// The reader to which every gateway turns with a session that its own table does not know. Guards against
+    /// reading long texts anew when a gateway has restarted or a session comes through another one.
+    fn home(&self, seq: &Sequence) -> Option<ServerId> {
+        let session = seq.session?;
+        let known = |s: &Server| s.kept.contains_key(&Text::Session(session));
+        let readers = || self.servers.values().filter(|s| self.role(s) == Role::Reader);
+        if readers().any(known) {
+            return None;
+        }
+        let ready = readers().filter(|s| s.listing.condition == Condition::Ready);
+        let here = |s: &Server| s.listing.zone == self.deployment.zone;
+        ready.max_by_key(|s| (here(s), mix(session.0 ^ mix(s.listing.server.0)))).map(|s| s.listing.server)
+    }
+
     /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first.
     fn pick_writer(&self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<ServerId> {
         let home = &self.servers[&reader].listing;
@@ -666,3 +684,10 @@
     let least = measured.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.lot.total_cmp(&y.lot)));
     least.map(|(_, server)| server.listing.server)
 }
+
+/// Spreads the bits of a number (the finalizer of splitmix64).
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,8 +5,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SeqId(pub u64);
+/// The same at every gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ServerId(pub u32);
+pub struct ServerId(pub u64);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SessionId(pub u64);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -42,7 +42,7 @@
     }
 }
 
-pub fn entry(server: u32, kind: usize, cell: i64) -> Listing {
+pub fn entry(server: u64, kind: usize, cell: i64) -> Listing {
     Listing {
         server: ServerId(server),
         kind: KindId(kind),
@@ -56,7 +56,7 @@
 
 /// Two cells, each of a reader and two writers: servers 0 to 2 and 3 to 5.
 pub fn fleet() -> Vec<Listing> {
-    (0..6).map(|n| entry(n, usize::from(n % 3 > 0), i64::from(n / 3))).collect()
+    (0..6).map(|n| entry(n, usize::from(n % 3 > 0), (n / 3) as i64)).collect()
 }
 
 pub fn brain(deployment: Deployment, fleet: &[Listing]) -> Brain {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use petrelshore::Brain;
 use petrelshore::interface::*;
 
 #[test]
@@ -32,6 +33,20 @@
     }
 }
 
+#[test]
+fn a_gateway_that_starts_anew_turns_to_the_readers_its_fellows_use() {
+    let mut list = fleet();
+    list.reverse();
+    let (mut one, mut other) = (brain(deployment(), &fleet()), Brain::new(START, deployment(), 99));
+    other.listed(ListScope::Remembered, &list);
+    for id in 0..20 {
+        let now = START + id * 100 * MS;
+        let mut seq = sequence(id, 0, now);
+        seq.session = Some(SessionId(id * 7919));
+        assert_eq!(read(&mut one, now, &mut seq.clone(), 50 * MS), read(&mut other, now, &mut seq, 50 * MS));
+    }
+}
+
 #[test]
 fn readers_without_room_beside_them_still_take_their_part() {
     let mut brain = brain(deployment(), &fleet());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -202,7 +202,7 @@
                 self.outcome(at, outcome);
             }
             14 => {
-                let server = ServerId((pick % 7) as u32);
+                let server = ServerId((pick % 7) as u64);
                 let listing = self.list.get_mut(&server).unwrap();
                 listing.condition = match pick / 8 % 6 {
                     0 => Condition::Draining,
