--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,7 @@
 /// A writer reported or reckoned fuller than this has no room.
 const FULL: f64 = 0.95;
 /// Part of the emptiest writer's memory that is kept for sequences worth more.
-const RESERVE: f64 = 0.2;
+const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
 const HOME: f64 = 0.25;
 /// Part of the latency SLO after which a sequence that nothing can take is given up.
