Attempts may take half as long again before they time out

A time-out in a jam throws the read away and queues it anew elsewhere. May hurt where a server goes silent: its attempts wait longer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,6 +17,8 @@
 const HIGH: f64 = 1.65;
 /// A server is slow when its high quantile is this many times its fellows'.
 const SLOW: f64 = 3.0;
+/// An attempt may take this many times what its fellows take of late, a sixth of the SLO at the least.
+const PATIENCE: f64 = 4.5;
 /// Answers of late that a verdict on a server needs.
 const EVIDENCE: f64 = 1.5;
 /// First pause after a failure that speaks against the server; doubles with each further one.
@@ -275,8 +277,8 @@
             Step::Read => fellows.map(|fellows| fellows.max(self.read_pace(now) * attempt.tokens)),
             _ => fellows,
         };
-        let least = self.slo(seq) as f64 / 2.0;
-        (usual.map_or(least, |usual| (SLOW * usual).max(least)) as Nanos).min(left)
+        let least = self.slo(seq) as f64 / 6.0;
+        (PATIENCE * usual.map_or(least, |usual| usual.max(least))).min(left as f64) as Nanos
     }
 
     /// The first token of attempt `n` has come.
