A state leaves a cell much fuller than another of its hall

The design's named break: one cell's writers fill while another cell has room. Condition: the least loaded ready writer of the reader's cell holds 0.3 of its memory more than the least loaded in the reader's hall. May hurt where links are slow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const FULL_PAUSE: Nanos = 250_000_000;
 /// A writer reported or reckoned fuller than this has no room.
 const FULL: f64 = 0.95;
+/// A state leaves its cell when the least loaded writer there is this much fuller than the least in the hall.
+const SPILL: f64 = 0.3;
 /// Part of the emptiest writer's memory that is kept for sequences worth more.
 const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
@@ -344,7 +346,13 @@
         };
         let sound = |s: &Server| self.ready(now, s) && self.has_room(now, s, seq);
         let near = |s: &Server| s.listing.cell == home.cell && self.role(s) == Role::Writer;
-        least(&|s| near(s) && sound(s))
+        let beside = least(&|s| near(s) && sound(s));
+        let load = |id: ServerId| self.decode_load(now, &self.servers[&id]);
+        // Guards against a cell whose writers fill while another of the hall has room.
+        let roomy = least(&|s| sound(s) && s.listing.zone == home.zone);
+        let spill = |near: &ServerId| roomy.filter(|far| load(*far) + SPILL < load(*near));
+        beside
+            .map(|near| spill(&near).unwrap_or(near))
             .or_else(|| least(&|s| sound(s) && s.listing.zone == self.deployment.zone))
             .or_else(|| least(&sound))
             .or_else(|| least(&near))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -74,6 +74,25 @@
     assert_ne!(writer.0 / 3, reader.0 / 3);
 }
 
+#[test]
+fn a_cell_much_fuller_than_another_of_its_hall_hands_its_state_over() {
+    let one_hall: Vec<Listing> = fleet().into_iter().map(|l| Listing { zone: ZoneId(0), ..l }).collect();
+    for (share, leaves) in [(0.2, false), (0.6, true)] {
+        let mut brain = brain(deployment(), &one_hall);
+        let mut seq = sequence(1, 0, START);
+        let reader = read(&mut brain, START, &mut seq, 50 * MS);
+        for writer in [reader.0 + 1, reader.0 + 2] {
+            brain.reported(
+                START,
+                ServerId(writer),
+                Report { memory_share: Some(share), ..Report::default() },
+            );
+        }
+        let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
+        assert_eq!(writer.0 / 3 != reader.0 / 3, leaves);
+    }
+}
+
 #[test]
 fn a_state_that_went_with_its_reader_is_read_anew() {
     let mut brain = brain(deployment(), &fleet());
