A cold server's part follows what the present pool carries of admitted sequences

The part now counts the pool that is there, admitted sequences only (a storm of retries would pass for capacity), and 0.8 of the rule's figure. May hurt where many servers are lost at once and the rest look able to carry more; the bound of 1.25 times the present share holds there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,6 +42,8 @@
 const RECHECK: Nanos = 20_000_000;
 /// A cold server's ordinary part, against its present share of a warm fellow's traffic.
 const COLD_PART: f64 = 1.25;
+/// Part of the rule's figure for a cold server that this gateway uses at the most, for chance and unequal gateways.
+const COLD_SAFE: f64 = 0.8;
 /// Own rate of a tenant past its share of the quota before it counts as over.
 const OVER_SHARE: f64 = 1.2;
 
@@ -134,7 +136,7 @@
     started: Nanos,
     chance: Rand64,
     servers: BTreeMap<ServerId, Server>,
-    arrivals: DecayingSum,
+    admitted: DecayingSum,
     tenants: Vec<DecayingSum>,
     /// Time that reads took, and the prompt work they were sent into.
     read_time: DecayingSum,
@@ -149,7 +151,7 @@
             started: now,
             chance: Rand64::new(seed.into()),
             servers: BTreeMap::new(),
-            arrivals: rate.clone(),
+            admitted: rate.clone(),
             tenants: vec![rate.clone(); deployment.tenants.len()],
             read_time: rate.clone(),
             read_tokens: rate,
@@ -202,7 +204,6 @@
         }
         let first = !seq.admitted && seq.attempts.is_empty();
         if first && seq.arrived == now {
-            self.arrivals.add(now, 1.0);
             if let Some(TenantId(tenant)) = seq.tenant {
                 self.tenants[tenant].add(now, 1.0);
             }
@@ -233,6 +234,9 @@
         if first && self.overloaded(now, seq, server, step) {
             return self.give_up(now, seq);
         }
+        if first {
+            self.admitted.add(now, 1.0);
+        }
         seq.admitted = true;
         self.send(now, seq, server, step);
         Schedule::Send(server)
@@ -610,19 +614,19 @@
     }
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
-    /// gets from this gateway when all are well stands for capacity; all gateways keep the same part of it.
+    /// carries of this gateway's sequences stands for capacity; all gateways keep the same part of it. Sequences
+    /// refused do not count, or a storm of retries would pass for capacity.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
         let reads = self.role(server) == Role::Reader;
         let pool = self.servers.values().filter(|s| (self.role(s) == Role::Reader) == reads);
-        let weight: f64 = pool.map(|s| self.weight(s)).sum();
-        let fair = self.arrivals.per_second(now, self.started) * self.weight(server) / weight.max(1e-9);
-        let warmed =
-            1.0 - server.cold_until.saturating_sub(now) as f64 / self.deployment.cold_for.max(1) as f64;
-        let present = self.deployment.cold_from + (1.0 - self.deployment.cold_from) * warmed.clamp(0.0, 1.0);
-        let window = self.deployment.cold_window as f64 / 1e9;
-        let budget = self.deployment.cold_multiple * self.deployment.cold_from * fair * window;
-        let rate = (COLD_PART * present * fair).min((budget - 1.0) / window).max(0.5 / window);
-        (1e9 / rate) as Nanos
+        let there = pool.filter(|s| s.listing.condition != Condition::Gone);
+        let weight: f64 = there.map(|s| self.weight(s)).sum();
+        let fair = self.admitted.per_second(now, self.started) * self.weight(server) / weight.max(1e-9);
+        let cold = server.cold_until.saturating_sub(now) as f64 / self.deployment.cold_for.max(1) as f64;
+        let present = 1.0 - (1.0 - self.deployment.cold_from) * cold.clamp(0.0, 1.0);
+        let most = COLD_SAFE * self.deployment.cold_multiple * self.deployment.cold_from;
+        let least = 0.5e9 / self.deployment.cold_window as f64;
+        (1e9 / (fair * most.min(COLD_PART * present)).max(least)) as Nanos
     }
 
     /// What an outcome tells of its server.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -76,7 +76,9 @@
                         self.arrivals.iter().filter(|a| *a >= at && **a < at + 1000 * MS).count()
                     };
                     let peak = self.arrivals.iter().map(second).max().unwrap_or(0) as f64;
-                    let pool = if listing.kind == KindId(0) { 2.0 } else { 5.0 };
+                    let reads = |l: &&Listing| (l.kind == KindId(0)) == (listing.kind == KindId(0));
+                    let there = self.list.values().filter(|l| l.condition != Condition::Gone);
+                    let pool = there.filter(reads).count() as f64;
                     let part = self.deployment.cold_multiple * self.deployment.cold_from;
                     let budget = part * peak / pool * window as f64 / 1e9;
                     assert!(of_late <= budget.max(1.0) + 1.0, "rule 4: {of_late} sends, budget {budget}");
