--- a/src/brain.rs
+++ b/src/brain.rs
@@ -268,7 +268,9 @@
         Settled::Schedule
     }
 
-    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking.
+    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking. Where
+    /// nothing is known of such servers it is half the time left: a gateway that starts into a jam must not add to
+    /// it by reading everything several times.
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         let left = seq.abandon_at.saturating_sub(now);
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
@@ -284,7 +286,8 @@
             _ => fellows,
         };
         let least = self.slo(seq) as f64 / 6.0;
-        (PATIENCE * usual.map_or(least, |usual| usual.max(least))).min(left as f64) as Nanos
+        (PATIENCE * usual.map_or(left as f64 / 2.0 / PATIENCE, |usual| usual.max(least))).min(left as f64)
+            as Nanos
     }
 
     /// The first token of attempt `n` has come.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -47,6 +47,14 @@
     }
 }
 
+#[test]
+fn a_gateway_that_knows_no_times_is_patient() {
+    let mut brain = brain(deployment(), &fleet());
+    let mut seq = sequence(1, 0, START);
+    sent(brain.schedule(START, &mut seq));
+    assert_eq!(brain.wait(START, &seq), 2000 * MS);
+}
+
 #[test]
 fn readers_without_room_beside_them_still_take_their_part() {
     let mut brain = brain(deployment(), &fleet());
