--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,8 +3,8 @@
 //! A gateway keeps one `Brain` and holds its sequences itself. It asks three things: `schedule` (where to
 //! send this sequence, or not yet, or never), `settle` (what to do after this outcome) and `wait` (how long
 //! to wait: for the attempt just sent, else before asking again). Other facts are told: `listed`, `refused`,
-//! `began`. The types that cross are in `src/interface.rs`; fading sums are in `src/decay.rs`. Why:
-//! `docs/design.md`.
+//! `began`, `reported`; `probes` names the servers to probe. The types that cross are in `src/interface.rs`;
+//! fading sums are in `src/decay.rs`. Why: `docs/design.md`.
 
 use crate::decay::{DecayingSum, FadingTimes};
 use crate::interface::*;
@@ -28,6 +28,8 @@
 const REPORT_LAG: Nanos = 300_000_000;
 /// Pause before a server that was full is asked again, about a report's delay.
 const FULL_PAUSE: Nanos = 250_000_000;
+/// Pause between probes of a server whose load only probes tell: a few streams' starts.
+const PROBE: Nanos = 2_000_000_000;
 /// A writer reported or reckoned fuller than this has no room.
 const FULL: f64 = 0.95;
 /// A state leaves its cell when the least loaded writer there is this much fuller than the least in the hall.
@@ -73,6 +75,7 @@
     listing: Listing,
     report: Report,
     reported: Nanos,
+    probed: Option<Nanos>,
     out: Vec<Out>,
     heard: Nanos,
     times: FadingTimes,
@@ -94,6 +97,7 @@
             listing,
             report: Report::default(),
             reported: 0,
+            probed: None,
             out: Vec::new(),
             heard: 0,
             times: FadingTimes::new(HALF_LIFE),
@@ -194,6 +198,24 @@
         (pause as f64 * (0.5 + 0.5 * self.chance.rand_float())) as Nanos
     }
 
+    /// The servers to probe now, where loads are told to probes only: each warm one, now and then. Guards
+    /// against going by own streams alone where more can be known; costs the price of its probes.
+    pub fn probes(&mut self, now: Nanos) -> Vec<ServerId> {
+        if !self.deployment.loads_by_probe {
+            return Vec::new();
+        }
+        let due = |s: &&mut Server| {
+            let warm = s.listing.condition == Condition::Ready && now >= s.cold_until;
+            warm && s.probed.is_none_or(|at| now >= at + PROBE)
+        };
+        let due = self.servers.values_mut().filter(due);
+        due.map(|s| {
+            s.probed = Some(now);
+            s.listing.server
+        })
+        .collect()
+    }
+
     /// A server has told its load.
     pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
         if let Some(server) = self.servers.get_mut(&server) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -69,6 +69,17 @@
     assert_eq!(brain.settle(START + 60 * MS, &mut seq, 0, Outcome::Reset, false), Settled::Wait);
 }
 
+#[test]
+fn loads_told_to_probes_only_are_probed_for_now_and_then() {
+    let mut list = fleet();
+    list[1].since = START - 1000 * MS;
+    list[2].condition = Condition::Draining;
+    let mut brain = brain(Deployment { loads_by_probe: true, ..deployment() }, &list);
+    assert_eq!(brain.probes(START), [0, 3, 4, 5].map(ServerId));
+    assert!(brain.probes(START + 1000 * MS).is_empty());
+    assert_eq!(brain.probes(START + 2000 * MS).len(), 4);
+}
+
 #[test]
 fn readers_without_room_beside_them_still_take_their_part() {
     let mut brain = brain(deployment(), &fleet());
