A cold server's part has no floor and no free first send

Cause: each gateway was granted half a send a window to a cold server whatever its share, and a first send free; with 100 to 274 gateways that adds up. Now a send waits for the pause that its part gives, the first for a part of it drawn by lot.

Also guards mass restarts and whole halls coming back. Hurts where a gateway sees next to nothing: a cold server may get little until it is warm. Test: 274 gateways against one budget.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -82,7 +82,7 @@
             other => return Err(format!("MEMBERS: field kind is malformed or out of range: '{other}'")),
         };
         let entries = entries.iter().map(|entry| self.listing(entry)).collect::<Result<Vec<_>, _>>()?;
-        self.brain.listed(scope, &entries);
+        self.brain.listed(now, scope, &entries);
         Ok(())
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -83,7 +83,9 @@
     shunned_until: Nanos,
     full_until: Nanos,
     cold_until: Nanos,
-    cold_free_at: Nanos,
+    /// When it was last sent something while cold, or listed, and the part of a pause to be kept since.
+    cold_sent: Nanos,
+    cold_part: f64,
     read_in_all: f64,
     kept: HashMap<Text, Kept>,
     /// Settles ties, drawn anew at each gateway, so that they do not all turn to the same server.
@@ -91,7 +93,7 @@
 }
 
 impl Server {
-    fn new(listing: Listing, cold_for: Nanos, lot: f64) -> Self {
+    fn new(now: Nanos, listing: Listing, cold_for: Nanos, lot: f64) -> Self {
         let cold_until = if listing.since > 0 { listing.since.saturating_add(cold_for) } else { 0 };
         Server {
             listing,
@@ -105,7 +107,8 @@
             shunned_until: 0,
             full_until: 0,
             cold_until,
-            cold_free_at: 0,
+            cold_sent: now,
+            cold_part: lot,
             read_in_all: 0.0,
             kept: HashMap::new(),
             lot,
@@ -168,7 +171,7 @@
     }
 
     /// The list of servers, or what has changed in it. A server that started anew has forgotten everything.
-    pub fn listed(&mut self, scope: ListScope, entries: &[Listing]) {
+    pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         self.refusals = 0;
         self.servers.retain(|_, s| s.listing.condition != Condition::Gone || !s.out.is_empty());
         if scope != ListScope::Changes {
@@ -184,7 +187,7 @@
                 Some(server) if entry.since <= server.listing.since => server.listing = entry.clone(),
                 _ => {
                     let server =
-                        Server::new(entry.clone(), self.deployment.cold_for, self.chance.rand_float());
+                        Server::new(now, entry.clone(), self.deployment.cold_for, self.chance.rand_float());
                     self.servers.insert(entry.server, server);
                 }
             }
@@ -427,7 +430,8 @@
     /// Listed as ready, and within this gateway's part of what a cold server may be sent.
     fn allowed(&self, now: Nanos, server: &Server) -> bool {
         server.listing.condition == Condition::Ready
-            && (now >= server.cold_until || now >= server.cold_free_at)
+            && (now >= server.cold_until
+                || now >= server.cold_sent.saturating_add(self.cold_pause(now, server)))
     }
 
     /// Allowed, and nothing speaks against it. After failures it gets one sequence at a time as a trial.
@@ -625,11 +629,8 @@
         let (work, credit) = (self.read_work(now, server, seq), self.credit(server, seq));
         let stream = self.stream_tokens(seq);
         let room = self.memory(server) / self.deployment.gateways as f64;
-        let pause = self.cold_pause(now, server);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if now < server.cold_until {
-            server.cold_free_at = now + pause;
-        }
+        (server.cold_sent, server.cold_part) = (now, 1.0);
         if step != Step::Write {
             let before = server.read_in_all;
             if server.kept.len() > KEPT {
@@ -652,7 +653,9 @@
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
     /// carries of this gateway's sequences stands for capacity; all gateways keep the same part of it.
-    /// Sequences refused do not count, or a storm of retries would pass for capacity.
+    /// Sequences refused do not count, or a storm of retries would pass for capacity. No rate is granted as a
+    /// floor and the first send waits for a part of the pause drawn by lot: with hundreds of gateways a floor
+    /// or a free first send each would add up to many times the rule's figure.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
         let reads = self.role(server) == Role::Reader;
         let pool = self.servers.values().filter(|s| (self.role(s) == Role::Reader) == reads);
@@ -662,8 +665,7 @@
         let cold = server.cold_until.saturating_sub(now) as f64 / self.deployment.cold_for.max(1) as f64;
         let present = 1.0 - (1.0 - self.deployment.cold_from) * cold.clamp(0.0, 1.0);
         let most = COLD_SAFE * self.deployment.cold_multiple * self.deployment.cold_from;
-        let least = 0.5e9 / self.deployment.cold_window as f64;
-        (1e9 / (fair * most.min(COLD_PART * present)).max(least)) as Nanos
+        (server.cold_part * 1e9 / (fair * most.min(COLD_PART * present)).max(1e-9)) as Nanos
     }
 
     /// What an outcome tells of its server.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,7 +62,7 @@
 
 pub fn brain(deployment: Deployment, fleet: &[Listing]) -> Brain {
     let mut brain = Brain::new(START, deployment, 7);
-    brain.listed(ListScope::Remembered, fleet);
+    brain.listed(START, ListScope::Remembered, fleet);
     brain
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -38,7 +38,7 @@
     let mut list = fleet();
     list.reverse();
     let (mut one, mut other) = (brain(deployment(), &fleet()), Brain::new(START, deployment(), 99));
-    other.listed(ListScope::Remembered, &list);
+    other.listed(START, ListScope::Remembered, &list);
     for id in 0..20 {
         let now = START + id * 100 * MS;
         let mut seq = sequence(id, 0, now);
@@ -59,7 +59,7 @@
 fn extreme_figures_and_repeated_outcomes_change_nothing() {
     let mut brain = brain(deployment(), &fleet());
     let late = Listing { since: Nanos::MAX, condition: Condition::Gone, ..entry(9, 0, 0) };
-    brain.listed(ListScope::Changes, &[late]);
+    brain.listed(START, ListScope::Changes, &[late]);
     let mut seq = sequence(1, 0, START);
     seq.prompt_tokens = 1e300;
     brain.schedule(START, &mut seq);
@@ -132,7 +132,7 @@
     let mut seq = sequence(1, 0, START);
     let reader = read(&mut brain, START, &mut seq, 50 * MS);
     let gone = Listing { condition: Condition::Gone, ..fleet()[reader.0 as usize].clone() };
-    brain.listed(ListScope::Changes, &[gone]);
+    brain.listed(START, ListScope::Changes, &[gone]);
     assert_eq!(sent(brain.schedule(START + 50 * MS, &mut seq)).0 % 3, 0);
 }
 
@@ -214,7 +214,7 @@
             let mut change: Vec<Listing> = fleet();
             change[..3].iter_mut().for_each(|cold| cold.since = now);
             change[3..].iter_mut().for_each(|gone| gone.condition = Condition::Gone);
-            brain.listed(ListScope::Changes, &change);
+            brain.listed(now, ListScope::Changes, &change);
         }
         let mut seq = sequence(id, 0, now);
         let Schedule::Send(reader) = brain.schedule(now, &mut seq) else { continue };
@@ -241,3 +241,37 @@
         assert!(most.is_some_and(|most| most > 0 && most as f64 <= budget + 1.0), "{most:?} of {budget}");
     }
 }
+
+#[test]
+fn hundreds_of_gateways_together_keep_a_cold_server_within_its_budget() {
+    let gateways = 274;
+    let deployment = Deployment { gateways, ..deployment() };
+    let mut brains: Vec<Brain> = (0..gateways).map(|_| brain(deployment.clone(), &fleet())).collect();
+    for (at, brain) in brains.iter_mut().enumerate() {
+        *brain = Brain::new(START, deployment.clone(), at as u64);
+        brain.listed(START, ListScope::Remembered, &fleet());
+    }
+    let (mut sends, gap) = (Vec::new(), 7 * MS);
+    let told = START + 8000 * MS;
+    for id in 0..2000u64 {
+        let now = START + id * gap;
+        let at = (id * 101 % gateways as u64) as usize;
+        if now >= told && now < told + gap {
+            let cold = Listing { since: now, ..entry(0, 0, 0) };
+            brains.iter_mut().for_each(|b| b.listed(now, ListScope::Changes, std::slice::from_ref(&cold)));
+        }
+        let mut seq = sequence(id, 0, now);
+        seq.session = None;
+        if let Schedule::Send(server) = brains[at].schedule(now, &mut seq) {
+            sends.extend((now >= told && server == ServerId(0)).then_some(now));
+            close(&mut brains[at], now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            seq.ended = true;
+        }
+    }
+    let most = sends.iter().map(|t| sends.iter().filter(|o| *o >= t && **o < t + 1500 * MS).count()).max();
+    let budget = 2.5 * 0.3 * 1.5 * (1e9 / gap as f64 / 2.0);
+    assert!(
+        most.is_some_and(|most| most as f64 <= budget && most as f64 > budget / 10.0),
+        "{most:?} of {budget}"
+    );
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,7 +217,7 @@
                     self.cold_sends.remove(&server);
                 }
                 let change = [listing.clone()];
-                self.brain.listed(ListScope::Changes, &change);
+                self.brain.listed(self.now, ListScope::Changes, &change);
             }
             15 if !out.is_empty() => {
                 let t = &mut self.hand[out[pick % out.len()]];
