Reads and states follow what each cell's readers and writers can take

Cause: at full size a gateway has no word of most servers' loads, every reader looked alike and states stayed in the cell: cells of writers alone were never used, cells of many readers jammed their few writers, a cell of readers alone was left out.

Change: each cell's part of sound writers and listed readers is reckoned every 200 ms; homes of sessions go by these parts (weighted rendezvous), a cell that reads more than its writers can take hands states on by lot while loads are not known, more reads stay beside writers the longer moves take against reads. Shared texts this gateway sends count as kept through the others. Usual answer times are ranked once a survey, not for each candidate; the refusal guess uses all servers' times together; moved states have their own time limit.

Also holds against cells whose writers are lost. Hurts where links are slow and nothing is known of moves yet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,8 +3,7 @@
 //! A gateway keeps one `Brain` and holds its sequences itself. It asks three things: `schedule` (where to
 //! send this sequence, or not yet, or never), `settle` (what to do after this outcome) and `wait` (how long
 //! to wait: for the attempt just sent, else before asking again). Other facts are told: `listed`, `refused`,
-//! `began`, `reported`; `probes` names the servers to probe. The types that cross are in `src/interface.rs`;
-//! fading sums are in `src/decay.rs`. Why: `docs/design.md`.
+//! `began`, `reported`. The types that cross are in `src/interface.rs`; fading sums are in `src/decay.rs`.
 
 use crate::decay::{DecayingSum, FadingTimes};
 use crate::interface::*;
@@ -24,20 +23,27 @@
 /// First pause after a failure that speaks against the server; doubles with each further one.
 const SHUN: Nanos = 500_000_000;
 const SHUN_DOUBLINGS: u32 = 4;
-/// Reports show a server as it was about this long before they arrive.
+/// Reports show a server as it was about this long before; a server that was full is asked again after it.
 const REPORT_LAG: Nanos = 300_000_000;
-/// Pause before a server that was full is asked again, about a report's delay.
-const FULL_PAUSE: Nanos = 250_000_000;
-/// Pause between probes of a server whose load only probes tell: a few streams' starts.
-const PROBE: Nanos = 2_000_000_000;
 /// A writer reported or reckoned fuller than this has no room.
 const FULL: f64 = 0.95;
 /// A state leaves its cell when the least loaded writer there is this much fuller than the least in the hall.
 const SPILL: f64 = 0.3;
+/// Part at which writers of another zone count for states that are handed on.
+const ZONE_AWAY: f64 = 0.25;
+/// More than any measure of work or load: what is not ready comes last.
+const LAST: f64 = 1e9;
 /// Part of the emptiest writer's memory that is kept for sequences worth more.
 const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
 const HOME: f64 = 0.25;
+/// So much more than its even part may a reader get while nothing is known of moves, and at the most.
+const READ_MORE: f64 = 0.1;
+const READ_MOST: f64 = 2.0;
+/// What is reckoned over the whole fleet is reckoned anew after this.
+const SURVEY: Nanos = 200_000_000;
+/// Half-life of how often a shared text was sent: about how long a reader keeps one that is not read again.
+const TEXT_LIFE: Nanos = 10_000_000_000;
 /// Texts in a reader's table past which the aged ones are cleared out.
 const KEPT: usize = 1000;
 /// Part of the latency SLO after which a sequence that nothing can take is given up.
@@ -46,8 +52,7 @@
 const RECHECK: Nanos = 20_000_000;
 /// A cold server's ordinary part, against its present share of a warm fellow's traffic.
 const COLD_PART: f64 = 1.25;
-/// Part of the rule's figure for a cold server that this gateway uses at the most, for chance and unequal
-/// gateways.
+/// Part of the rule's figure for a cold server that is used at the most, for chance and unequal gateways.
 const COLD_SAFE: f64 = 0.8;
 /// Own rate of a tenant past its share of the quota before it counts as over.
 const OVER_SHARE: f64 = 1.2;
@@ -75,7 +80,6 @@
     listing: Listing,
     report: Report,
     reported: Nanos,
-    probed: Option<Nanos>,
     out: Vec<Out>,
     heard: Nanos,
     times: FadingTimes,
@@ -99,7 +103,6 @@
             listing,
             report: Report::default(),
             reported: 0,
-            probed: None,
             out: Vec::new(),
             heard: 0,
             times: FadingTimes::new(HALF_LIFE),
@@ -126,18 +129,29 @@
         oldest.map_or(0, |sent| now.saturating_sub(sent.max(self.heard)))
     }
 
-    fn waited(&self, now: Nanos) -> Nanos {
-        self.out.iter().filter(|out| out.waiting).map(|out| now.saturating_sub(out.sent)).max().unwrap_or(0)
-    }
-
     fn fail(&mut self, now: Nanos) {
         self.shunned_until = now + (SHUN << self.strikes.min(SHUN_DOUBLINGS));
         self.strikes += 1;
     }
 
     fn answer(&mut self, now: Nanos) {
-        self.heard = now;
-        self.strikes = 0;
+        (self.heard, self.strikes) = (now, 0);
+    }
+}
+
+/// A cell's parts of what the fleet's sound readers and writers can do, and of all reads.
+#[derive(Clone, Copy)]
+struct Cell {
+    zone: ZoneId,
+    readers: f64,
+    writers: f64,
+    reads: f64,
+}
+
+impl Cell {
+    /// What its writers can take beyond what is read beside them.
+    fn spare(&self) -> f64 {
+        (self.writers - self.reads).max(0.0)
     }
 }
 
@@ -146,11 +160,19 @@
     started: Nanos,
     chance: Rand64,
     servers: BTreeMap<ServerId, Server>,
+    surveyed: Option<Nanos>,
+    cells: BTreeMap<CellId, Cell>,
+    /// For each role, the high quantile of answer times that its servers have in the middle.
+    usual: [Option<(f64, f64)>; 3],
+    /// Answer times of late, of all servers together, by step.
+    times: [FadingTimes; 4],
     admitted: DecayingSum,
     tenants: Vec<DecayingSum>,
     /// Time that reads took, and the prompt work they were sent into.
     read_time: DecayingSum,
     read_tokens: DecayingSum,
+    /// How often a shared text was sent of late.
+    prefixes: HashMap<PrefixId, DecayingSum>,
     refusals: u32,
 }
 
@@ -161,10 +183,15 @@
             started: now,
             chance: Rand64::new(seed.into()),
             servers: BTreeMap::new(),
+            surveyed: None,
+            cells: BTreeMap::new(),
+            usual: [None; 3],
+            times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
             admitted: rate.clone(),
             tenants: vec![rate.clone(); deployment.tenants.len()],
             read_time: rate.clone(),
             read_tokens: rate,
+            prefixes: HashMap::new(),
             refusals: 0,
             deployment,
         }
@@ -173,22 +200,20 @@
     /// The list of servers, or what has changed in it. A server that started anew has forgotten everything.
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         self.refusals = 0;
+        self.surveyed = None;
         self.servers.retain(|_, s| s.listing.condition != Condition::Gone || !s.out.is_empty());
         if scope != ListScope::Changes {
             let named = |id: &ServerId| entries.iter().any(|entry| entry.server == *id);
-            for (id, server) in &mut self.servers {
-                if !named(id) {
-                    server.listing.condition = Condition::Gone;
-                }
+            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !named(id)) {
+                server.listing.condition = Condition::Gone;
             }
         }
         for entry in entries {
             match self.servers.get_mut(&entry.server) {
                 Some(server) if entry.since <= server.listing.since => server.listing = entry.clone(),
                 _ => {
-                    let server =
-                        Server::new(now, entry.clone(), self.deployment.cold_for, self.chance.rand_float());
-                    self.servers.insert(entry.server, server);
+                    let (cold_for, lot) = (self.deployment.cold_for, self.chance.rand_float());
+                    self.servers.insert(entry.server, Server::new(now, entry.clone(), cold_for, lot));
                 }
             }
         }
@@ -201,24 +226,6 @@
         (pause as f64 * (0.5 + 0.5 * self.chance.rand_float())) as Nanos
     }
 
-    /// The servers to probe now, where loads are told to probes only: each warm one, now and then. Guards
-    /// against going by own streams alone where more can be known; costs the price of its probes.
-    pub fn probes(&mut self, now: Nanos) -> Vec<ServerId> {
-        if !self.deployment.loads_by_probe {
-            return Vec::new();
-        }
-        let due = |s: &&mut Server| {
-            let warm = s.listing.condition == Condition::Ready && now >= s.cold_until;
-            warm && s.probed.is_none_or(|at| now >= at + PROBE)
-        };
-        let due = self.servers.values_mut().filter(due);
-        due.map(|s| {
-            s.probed = Some(now);
-            s.listing.server
-        })
-        .collect()
-    }
-
     /// A server has told its load.
     pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
         if let Some(server) = self.servers.get_mut(&server) {
@@ -231,6 +238,7 @@
         if seq.ended || seq.attempts.iter().any(|a| !matches!(a.status, Status::Closed(_))) {
             return Schedule::NotYet;
         }
+        self.survey(now);
         let first = !seq.admitted && seq.attempts.is_empty();
         if let Some(TenantId(tenant)) = seq.tenant.filter(|_| first && seq.arrived == now) {
             self.tenants[tenant].add(now, 1.0);
@@ -238,25 +246,17 @@
         if now + RECHECK >= seq.abandon_at || self.spent(seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking writers for a state that went with its reader; the clock to release it runs
-        // on.
+        // Guards against asking writers for a state that went with its reader; its clock runs on.
         let state = seq.state.filter(|(reader, since)| {
             let reader = self.servers.get(reader).map(|s| &s.listing);
             reader.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
         });
-        let (server, step) = match state {
-            Some((reader, _)) => (self.pick_writer(now, seq, reader), Step::Write),
-            None => match self.pick_mixed(now, seq) {
-                Some(mixed) => (Some(mixed), Step::Whole),
-                None if seq.attempts.len() + 2 <= self.most_attempts(seq) => match self.pick_reader(now, seq)
-                {
-                    Some(reader) => (Some(reader), Step::Read),
-                    None => (self.pick_whole(now, seq), Step::Whole),
-                },
-                None => (self.pick_whole(now, seq), Step::Whole),
-            },
+        let picked = match state {
+            Some((reader, _)) => self.pick_writer(now, seq, reader),
+            None => self.pick_mixed(now, seq).or_else(|| self.pick_reader(now, seq)),
         };
-        let Some(server) = server else {
+        let Some((server, step)) = picked.or_else(|| self.pick_whole(now, seq).filter(|_| state.is_none()))
+        else {
             return if self.may_hold(now, seq) { Schedule::NotYet } else { self.give_up(now, seq) };
         };
         if first && self.overloaded(now, seq, server, step) {
@@ -271,27 +271,20 @@
     }
 
     /// What to do after the outcome of attempt `n`; `last` where it ended the sequence.
-    pub fn settle(
-        &mut self,
-        now: Nanos,
-        seq: &mut Sequence,
-        n: usize,
-        outcome: Outcome,
-        last: bool,
-    ) -> Settled {
+    pub fn settle(&mut self, now: Nanos, seq: &mut Sequence, n: usize, got: Outcome, last: bool) -> Settled {
         let Some(attempt) = seq.attempts.get_mut(n) else { return Settled::Wait };
         if matches!(attempt.status, Status::Closed(_)) {
             return Settled::Wait;
         }
         let began = attempt.status == Status::Streaming;
-        attempt.status = Status::Closed(outcome);
+        attempt.status = Status::Closed(got);
         let attempt = attempt.clone();
-        self.learn(now, seq.id, &attempt, outcome, began);
+        self.learn(now, seq.id, &attempt, got, began);
         if last || seq.ended {
             seq.ended = true;
-            return Settled::Ended { release: outcome != Outcome::Generated };
+            return Settled::Ended { release: got != Outcome::Generated };
         }
-        match outcome {
+        match got {
             Outcome::ReadDone { .. } => seq.state = Some((attempt.server, now)),
             Outcome::NoState => seq.state = None,
             _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
@@ -310,10 +303,12 @@
         if attempt.step != Step::Read && self.effect(seq) == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
-        let fellows = self.fellows(now, self.servers[&attempt.server].listing.kind, None);
+        let fellows = self.usual[self.role(&self.servers[&attempt.server]) as usize].map(|(_, high)| high);
         let usual = match attempt.step {
             // A queue is no reason to read elsewhere anew.
             Step::Read => fellows.map(|fellows| fellows.max(self.read_pace(now) * attempt.tokens)),
+            // Nor is a slow link one to move elsewhere: it would be loaded twice.
+            Step::Move => self.known_time(now, Step::Move, HIGH).map(|time| time.max(fellows.unwrap_or(0.0))),
             _ => fellows,
         };
         let least = self.slo(seq) as f64 / 6.0;
@@ -328,103 +323,166 @@
         seq.state = None;
         if let Some(server) = self.servers.get_mut(&attempt.server) {
             server.answer(now);
-            server.times.add(now, now.saturating_sub(attempt.sent) as f64);
+            let time = now.saturating_sub(attempt.sent) as f64;
+            self.times[attempt.step as usize].add(now, time);
+            if attempt.step != Step::Move {
+                server.times.add(now, time);
+            }
             for out in server.out.iter_mut().filter(|out| out.seq == seq.id) {
                 out.waiting = false;
             }
         }
     }
 
-    /// The reader with least prompt work. Where no writer beside it has room its state has to be moved once
-    /// more, so its prompt counts twice: readers with a writer beside them come first until they have that
-    /// much to do.
-    fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
-        let beside = |cell| {
-            let mut near =
-                self.servers.values().filter(|s| s.listing.cell == cell && self.role(s) == Role::Writer);
-            near.any(|s| self.ready(now, s) && self.has_room(now, s, seq))
+    /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads counts
+    /// part of the prompt again, since that part of its states has to be moved once more.
+    fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
+        if seq.attempts.len() + 2 > self.most_attempts(seq) {
+            return None;
+        }
+        let (homes, shared) = (self.homes(seq), self.shared(now, seq));
+        let nearest = homes.values().copied().fold(f64::INFINITY, f64::min);
+        let work = |s: &Server| {
+            let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
+            let home = homes.get(&s.listing.server).map_or(0.0, |away| nearest / away);
+            let last = if self.ready(now, s) { 0.0 } else { LAST };
+            self.read_work(now, s, seq, shared) + (far - HOME * home) * seq.prompt_tokens + last
         };
-        let home = self.home(seq);
-        let least = |sound: bool| {
-            let open = self.servers.values().filter(|s| {
-                self.role(s) == Role::Reader
-                    && (if sound { self.ready(now, s) } else { self.allowed(now, s) })
-                    && self.in_scope(now, seq, s)
-            });
-            least_by(open, |s| {
-                let far = if beside(s.listing.cell) { 0.0 } else { seq.prompt_tokens };
-                let home = if home == Some(s.listing.server) { HOME * seq.prompt_tokens } else { 0.0 };
-                self.read_work(now, s, seq) + far - home
-            })
+        self.least(now, seq, |s| (self.role(s) == Role::Reader).then(|| work(s)))
+            .map(|reader| (reader, Step::Read))
+    }
+
+    /// The server with the least of a measure, of those that have one and may be sent this; ties go by lot.
+    fn least(&self, now: Nanos, seq: &Sequence, by: impl Fn(&Server) -> Option<f64>) -> Option<ServerId> {
+        let open = self.servers.values().filter(|s| self.allowed(now, s) && self.in_scope(now, seq, s));
+        let least = open.filter_map(|s| Some((by(s)?, s)));
+        let least = least.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.lot.total_cmp(&y.lot)));
+        least.map(|(_, server)| server.listing.server)
+    }
+
+    /// How far each reader is from being this session's home, to which every gateway turns: a hash, by the part
+    /// of all reads that the reader should get, own zone first as far as its readers go round. Guards against
+    /// reading long texts anew when a gateway has restarted or a session comes through another one, and against
+    /// cells that have many readers and few writers, or the other way round.
+    fn homes(&self, seq: &Sequence) -> HashMap<ServerId, f64> {
+        let key = seq.session.map_or(seq.id.0, |session| session.0);
+        let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        self.cells.values().for_each(|c| *zones.entry(c.zone).or_default() += c.reads);
+        let even = 1.0 / zones.len().max(1) as f64;
+        let here = zones.get(&self.deployment.zone).map_or(0.0, |part| (part / even).min(1.0));
+        let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
+        let away = |s: &Server| {
+            let cell = self.cells.get(&s.listing.cell)?;
+            let part = zones[&cell.zone].max(1e-9);
+            let zone = match cell.zone == self.deployment.zone {
+                true => here,
+                false => (1.0 - here) * (part - even).max(0.0) / spare.max(1e-9),
+            };
+            let part = zone * cell.reads / part * self.weight(s) / cell.readers.max(1e-9);
+            Some((s.listing.server, race(key, s, part)))
         };
-        least(true).or_else(|| least(false))
+        self.servers.values().filter(|s| self.role(s) == Role::Reader).filter_map(away).collect()
     }
 
-    /// The reader to which every gateway turns with a session that its own table does not know. Guards
-    /// against reading long texts anew when a gateway has restarted or a session comes through another one.
-    fn home(&self, seq: &Sequence) -> Option<ServerId> {
-        let session = seq.session?;
-        let known = |s: &Server| s.kept.contains_key(&Text::Session(session));
-        let readers = || self.servers.values().filter(|s| self.role(s) == Role::Reader);
-        if readers().any(known) {
-            return None;
+    /// Reckons, now and then, what each cell's sound servers can take. Reads go where writers are, as far as
+    /// the readers there can do more than their even part; the rest is read where readers are left over.
+    fn survey(&mut self, now: Nanos) {
+        if self.surveyed.is_some_and(|at| now < at + SURVEY) {
+            return;
+        }
+        self.surveyed = Some(now);
+        for role in [Role::Reader, Role::Writer, Role::Mixed] {
+            self.usual[role as usize] = self.middle_times(now, role);
+        }
+        let mut cells: BTreeMap<CellId, Cell> = BTreeMap::new();
+        for s in self.servers.values() {
+            let part = if self.sound(now, s) { self.weight(s) * self.present(now, s) } else { 0.0 };
+            let zone = s.listing.zone;
+            let cell = cells.entry(s.listing.cell);
+            let cell = cell.or_insert(Cell { zone, readers: 0.0, writers: 0.0, reads: 0.0 });
+            match self.role(s) {
+                // By the list alone: a verdict that comes and goes must not move sessions from home to home.
+                Role::Reader if s.listing.condition == Condition::Ready => {
+                    cell.readers += self.weight(s) * self.present(now, s)
+                }
+                Role::Writer if self.decode_load(now, s) <= FULL => cell.writers += part,
+                _ => {}
+            }
+        }
+        let sum = |cells: &BTreeMap<CellId, Cell>, of: fn(&Cell) -> f64| {
+            cells.values().map(of).sum::<f64>().max(1e-9)
+        };
+        let more = self.read_more(now);
+        let (readers, writers) = (sum(&cells, |c| c.readers), sum(&cells, |c| c.writers));
+        for cell in cells.values_mut() {
+            (cell.readers, cell.writers) = (cell.readers / readers, cell.writers / writers);
+            cell.reads = cell.writers.min((1.0 + more) * cell.readers);
         }
-        let ready = readers().filter(|s| s.listing.condition == Condition::Ready);
-        let here = |s: &Server| s.listing.zone == self.deployment.zone;
-        ready.max_by_key(|s| (here(s), mix(session.0 ^ mix(s.listing.server.0)))).map(|s| s.listing.server)
+        let left = 1.0 - sum(&cells, |c| c.reads);
+        let idle = sum(&cells, |c| (c.readers - c.reads).max(0.0));
+        for cell in cells.values_mut() {
+            cell.reads += left.max(0.0) * (cell.readers - cell.reads).max(0.0) / idle;
+        }
+        self.cells = cells;
     }
 
-    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first.
-    fn pick_writer(&self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<ServerId> {
+    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions. A
+    /// state leaves a cell that is much fuller than another of the hall. And a cell that reads more than its
+    /// writers can take hands on the rest, by lot to where less is read, while their loads are not known.
+    fn pick_writer(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<(ServerId, Step)> {
+        let chance = self.chance.rand_float();
         let home = &self.servers[&reader].listing;
-        let least = |admit: &dyn Fn(&Server) -> bool| {
-            let open = self.servers.values().filter(|s| {
-                self.role(s) != Role::Reader && self.allowed(now, s) && self.in_scope(now, seq, s) && admit(s)
-            });
-            least_by(open, |s| self.decode_load(now, s))
-        };
-        let sound = |s: &Server| self.ready(now, s) && self.has_room(now, s, seq);
         let near = |s: &Server| s.listing.cell == home.cell && self.role(s) == Role::Writer;
-        let beside = least(&|s| near(s) && sound(s));
-        let load = |id: ServerId| self.decode_load(now, &self.servers[&id]);
-        // Guards against a cell whose writers fill while another of the hall has room.
-        let roomy = least(&|s| sound(s) && s.listing.zone == home.zone);
-        let spill = |near: &ServerId| roomy.filter(|far| load(*far) + SPILL < load(*near));
-        beside
-            .map(|near| spill(&near).unwrap_or(near))
-            .or_else(|| least(&|s| sound(s) && s.listing.zone == self.deployment.zone))
-            .or_else(|| least(&sound))
-            .or_else(|| least(&near))
-            .or_else(|| least(&|_| true))
+        let sound =
+            |s: &Server| self.role(s) != Role::Reader && self.ready(now, s) && self.has_room(now, s, seq);
+        let known = self.servers.values().filter(|s| near(s)).map(|s| self.fresh(now, s)).fold(0.0, f64::max);
+        let leave = self.cells.get(&home.cell).map_or(0.0, |c| 1.0 - c.writers / c.reads.max(1e-9));
+        if chance < leave * (1.0 - known) {
+            let away = |s: &Server| {
+                let cell = &self.cells[&s.listing.cell];
+                let zone = if cell.zone == home.zone { 1.0 } else { ZONE_AWAY };
+                race(seq.id.0, s, zone * cell.spare() * self.weight(s) / cell.writers.max(1e-9))
+            };
+            let spare =
+                |s: &Server| self.cells.get(&s.listing.cell).is_some_and(|c| c.spare() > 0.0) && sound(s);
+            let picked = self.least(now, seq, |s| spare(s).then(|| away(s)));
+            if let Some(writer) = picked {
+                return Some((writer, Step::Move));
+            }
+        }
+        let load = |s: &Server| {
+            let far = match (near(s), s.listing.zone == home.zone) {
+                (true, _) => 0.0,
+                (false, true) => SPILL,
+                (false, false) => 1.0,
+            };
+            self.decode_load(now, s) + far + if sound(s) { 0.0 } else { LAST * (1.0 + far) }
+        };
+        let writer = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
+        let beside = self.servers[&writer].listing.cell == home.cell;
+        Some((writer, if beside { Step::Write } else { Step::Move }))
     }
 
     /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer
     /// and has begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at
     /// a time.
-    fn pick_mixed(&self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
+    fn pick_mixed(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
         let least = |role: Role| {
-            let open = self.servers.values().filter(|s| {
-                self.role(s) == role
-                    && self.ready(now, s)
-                    && self.has_room(now, s, seq)
-                    && self.in_scope(now, seq, s)
-                    && (role == Role::Writer || s.out.iter().all(|out| !out.waiting))
-            });
-            least_by(open, |s| self.decode_load(now, s))
+            let open = |s: &Server| self.role(s) == role && self.ready(now, s) && self.has_room(now, s, seq);
+            let idle = |s: &Server| role == Role::Writer || s.out.iter().all(|out| !out.waiting);
+            self.least(now, seq, |s| (open(s) && idle(s)).then(|| self.decode_load(now, s)))
         };
         let mixed = least(Role::Mixed)?;
         let load = |id: ServerId| self.decode_load(now, &self.servers[&id]);
-        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then_some(mixed)
+        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then_some((mixed, Step::Whole))
     }
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
-    fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<ServerId> {
-        let open = self.servers.values().filter(|s| {
-            let whole =
-                self.role(s) == Role::Mixed || (self.role(s) == Role::Writer && self.deployment.writers_read);
-            whole && self.ready(now, s) && self.in_scope(now, seq, s)
-        });
-        least_by(open, |s| self.decode_load(now, s))
+    fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
+        let whole = |role| role == Role::Mixed || (role == Role::Writer && self.deployment.writers_read);
+        let open = |s: &Server| whole(self.role(s)) && self.ready(now, s);
+        let least = self.least(now, seq, |s| open(s).then(|| self.decode_load(now, s)));
+        least.map(|server| (server, Step::Whole))
     }
 
     /// Listed as ready, and within this gateway's part of what a cold server may be sent.
@@ -434,10 +492,26 @@
                 || now >= server.cold_sent.saturating_add(self.cold_pause(now, server)))
     }
 
+    /// A state is moved as far as that takes less time than waiting for a busier reader beside the writer.
+    /// Guards against narrow and slow links on one side, against jammed readers on the other.
+    fn read_more(&self, now: Nanos) -> f64 {
+        let time = |step| self.known_time(now, step, 0.0);
+        let (Some(moved), Some(read)) = (time(Step::Move), time(Step::Read)) else { return READ_MORE };
+        (0.5 * (moved - time(Step::Write).unwrap_or(0.0)) / read).clamp(0.0, READ_MOST)
+    }
+
+    fn known_time(&self, now: Nanos, step: Step, deviations: f64) -> Option<f64> {
+        let times = &self.times[step as usize];
+        times.quantile(now, deviations).filter(|_| times.weight(now) >= EVIDENCE)
+    }
+
     /// Allowed, and nothing speaks against it. After failures it gets one sequence at a time as a trial.
     fn ready(&self, now: Nanos, server: &Server) -> bool {
-        self.allowed(now, server)
-            && now >= server.full_until
+        self.allowed(now, server) && now >= server.full_until && self.sound(now, server)
+    }
+
+    fn sound(&self, now: Nanos, server: &Server) -> bool {
+        server.listing.condition == Condition::Ready
             && (server.strikes == 0 || (now >= server.shunned_until && server.silence(now) == 0))
             && !self.slow(now, server)
     }
@@ -445,20 +519,25 @@
     /// Guards against a server that runs far slower than its fellows or has gone silent: by a high quantile
     /// of its answer times, or by how long it has been quiet. Old verdicts fade, so it is tried again.
     fn slow(&self, now: Nanos, server: &Server) -> bool {
-        let own = server.times.quantile(now, HIGH).filter(|_| server.times.weight(now) >= EVIDENCE);
-        let fellows = self.fellows(now, server.listing.kind, Some(server.listing.server));
-        let Some(usual) = fellows.or(own) else { return false };
-        own.is_some_and(|own| own > SLOW * usual) || server.silence(now) as f64 > SLOW * usual
-    }
-
-    /// The median over a server's fellows of the high quantile of their answer times.
-    fn fellows(&self, now: Nanos, kind: KindId, except: Option<ServerId>) -> Option<f64> {
-        let role = self.deployment.kinds[kind.0].role;
-        let others = self.servers.iter().filter(|(id, s)| Some(**id) != except && self.role(s) == role);
-        let times = others.filter(|(_, s)| s.times.weight(now) >= EVIDENCE);
-        let mut high: Vec<f64> = times.filter_map(|(_, s)| s.times.quantile(now, HIGH)).collect();
+        let Some((usual, _)) = self.usual[self.role(server) as usize] else { return false };
+        let known = server.times.weight(now) >= EVIDENCE;
+        known && server.times.quantile(now, HIGH).is_some_and(|own| own > SLOW * usual)
+            || server.silence(now) as f64 > SLOW * usual
+    }
+
+    /// The high quantile of answer times that a role's servers have in the middle: the lower and higher of two.
+    fn middle_times(&self, now: Nanos, role: Role) -> Option<(f64, f64)> {
+        let fellows = self.servers.values().filter(|s| self.role(s) == role);
+        let times = fellows.filter(|s| s.times.weight(now) >= EVIDENCE);
+        let mut high: Vec<f64> = times.filter_map(|s| s.times.quantile(now, HIGH)).collect();
         high.sort_by(f64::total_cmp);
-        high.get(high.len() / 2).copied()
+        Some((*high.get(high.len().saturating_sub(1) / 2)?, *high.get(high.len() / 2)?))
+    }
+
+    /// How much of a server's last report still holds.
+    fn fresh(&self, now: Nanos, server: &Server) -> f64 {
+        let age = now.saturating_sub(server.reported) as f64;
+        if server.report.memory_share.is_none() { 0.0 } else { (-age / HALF_LIFE as f64).exp2() }
     }
 
     fn has_room(&self, now: Nanos, server: &Server, seq: &Sequence) -> bool {
@@ -477,7 +556,7 @@
     }
 
     /// Queued prompt tokens, reported or own, and this prompt less what the reader should have kept of it.
-    fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence) -> f64 {
+    fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence, shared: f64) -> f64 {
         let own = server.own_tokens(0);
         let queued = match server.report.queued_prompt_tokens {
             Some(queue) => {
@@ -487,7 +566,7 @@
             }
             None => own,
         };
-        queued + seq.prompt_tokens - self.credit(server, seq)
+        queued + seq.prompt_tokens - self.credit(server, seq, shared)
     }
 
     /// Nanoseconds that a token of prompt work has taken of late, hidden queues included.
@@ -496,8 +575,9 @@
     }
 
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways'
-    /// part.
-    fn credit(&self, server: &Server, seq: &Sequence) -> f64 {
+    /// part. A shared text that this gateway has sent to some readers has come to others through its fellows,
+    /// the surer the more gateways there are for each reader.
+    fn credit(&self, server: &Server, seq: &Sequence, elsewhere: f64) -> f64 {
         let room = self.memory(server) / self.deployment.gateways as f64;
         let live = |text: Text| {
             let kept = server.kept.get(&text)?;
@@ -505,29 +585,29 @@
         };
         let session = seq.session.and_then(|id| live(Text::Session(id))).unwrap_or(0.0);
         let prefix = seq.prefix.and_then(|id| live(Text::Prefix(id))).unwrap_or(0.0).min(seq.prefix_tokens);
-        session.max(prefix).min(seq.prompt_tokens)
+        session.max(prefix).max(elsewhere * seq.prefix_tokens).min(seq.prompt_tokens)
+    }
+
+    /// How surely a reader has kept a sequence's shared text through the other gateways.
+    fn shared(&self, now: Nanos, seq: &Sequence) -> f64 {
+        let own = seq.prefix.and_then(|id| self.prefixes.get(&id)).map_or(0.0, |sent| sent.read(now));
+        let readers = self.servers.values().filter(|s| self.role(s) == Role::Reader).count().max(1);
+        (1.0 - 2.0 * (-own * (self.deployment.gateways - 1) as f64 / readers as f64).exp()).max(0.0)
     }
 
-    /// Overload is met before the read: nothing is read that can't be answered in time. The less a sequence
-    /// is worth, the earlier it is turned away. Also holds against lost servers and slow links; hurts when a
-    /// short jam clears faster than it seems.
+    /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also holds
+    /// against lost servers and slow links; hurts when a short jam clears faster than it seems.
     fn overloaded(&self, now: Nanos, seq: &Sequence, server: ServerId, step: Step) -> bool {
         if seq.resumed {
             return false;
         }
-        let chosen = &self.servers[&server];
-        let answer = |s: &Server| {
-            let middle = s.times.quantile(now, 0.0).unwrap_or(0.0);
-            middle.max(s.waited(now) as f64)
-        };
-        let wait = if step == Step::Whole {
-            answer(chosen)
-        } else {
-            let near = self.servers.values().filter(|s| {
-                s.listing.cell == chosen.listing.cell && self.role(s) == Role::Writer && self.allowed(now, s)
-            });
-            let write = near.map(answer).min_by(f64::total_cmp).unwrap_or(0.0);
-            self.read_pace(now) * self.read_work(now, chosen, seq) + write
+        let time = |step| self.known_time(now, step, 0.0).unwrap_or(0.0);
+        let wait = match step {
+            Step::Read => {
+                let work = self.read_work(now, &self.servers[&server], seq, self.shared(now, seq));
+                self.read_pace(now) * work + time(Step::Write)
+            }
+            step => time(step),
         };
         let value = self.value(now, seq);
         let answering = self.servers.values().filter(|s| self.role(s) != Role::Reader && self.ready(now, s));
@@ -540,10 +620,14 @@
         wait > left * slack
     }
 
+    fn utility(&self, seq: &Sequence) -> f64 {
+        let highest = self.deployment.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+        self.deployment.types[seq.traffic.0].utility / highest
+    }
+
     /// Utility against the highest, less for a tenant past its share.
     fn value(&self, now: Nanos, seq: &Sequence) -> f64 {
-        let highest = self.deployment.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        let utility = self.deployment.types[seq.traffic.0].utility / highest;
+        let utility = self.utility(seq);
         let over = seq.tenant.is_some_and(|TenantId(tenant)| {
             let part = self.deployment.tenants[tenant].per_second / self.deployment.gateways as f64;
             self.tenants[tenant].per_second(now, self.started) > OVER_SHARE * part
@@ -553,31 +637,22 @@
 
     /// A read and a write are everyone's; further attempts go by utility.
     fn most_attempts(&self, seq: &Sequence) -> usize {
-        let highest = self.deployment.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        let utility = self.deployment.types[seq.traffic.0].utility / highest;
         let further = self.deployment.max_attempts.saturating_sub(2) as f64;
-        self.deployment.max_attempts.min(2 + (further * utility).ceil() as usize)
+        self.deployment.max_attempts.min(2 + (further * self.utility(seq)).ceil() as usize)
     }
 
+    /// Nothing further: its attempts are used up, or it is once-only and one may have run.
     fn spent(&self, seq: &Sequence) -> bool {
-        seq.attempts.len() >= self.most_attempts(seq) || !self.may_repeat(seq)
-    }
-
-    /// Once-only: never again once an attempt may have run.
-    fn may_repeat(&self, seq: &Sequence) -> bool {
-        self.effect(seq) != Effect::OnceOnly || self.maybe_ran(seq).is_none()
+        let once = self.effect(seq) == Effect::OnceOnly;
+        seq.attempts.len() >= self.most_attempts(seq) || (once && self.maybe_ran(seq).is_some())
     }
 
     /// The first attempt that may have taken effect. Reads have none.
     fn maybe_ran<'a>(&self, seq: &'a Sequence) -> Option<&'a Attempt> {
         seq.attempts.iter().find(|attempt| {
-            attempt.step != Step::Read
-                && !matches!(
-                    attempt.status,
-                    Status::Closed(
-                        Outcome::Full | Outcome::NoState | Outcome::ConnectFailed | Outcome::NeverSent
-                    )
-                )
+            use Outcome::*;
+            let proven = matches!(attempt.status, Status::Closed(Full | NoState | ConnectFailed | NeverSent));
+            attempt.step != Step::Read && !proven
         })
     }
 
@@ -594,13 +669,11 @@
             }
     }
 
-    /// A sequence that nothing can take is held for part of its SLO, its state well within the time to
-    /// release.
+    /// A sequence that nothing can take is held for part of its SLO, its state within the time to release.
     fn may_hold(&self, now: Nanos, seq: &Sequence) -> bool {
         let until = seq.arrived.saturating_add((self.slo(seq) as f64 * HOLD) as Nanos);
-        let pinned = seq
-            .state
-            .is_some_and(|(_, since)| now + 2 * RECHECK >= since + self.deployment.release_within / 2);
+        let latest = |since: Nanos| since + self.deployment.release_within / 2;
+        let pinned = seq.state.is_some_and(|(_, since)| now + 2 * RECHECK >= latest(since));
         now < until && !pinned
     }
 
@@ -612,12 +685,10 @@
             (Some(first), Effect::Tokened { scope: Scope::All, window }) => now < first.sent + window,
             _ => false,
         };
-        seq.ended = true;
-        seq.state = None;
+        (seq.ended, seq.state) = (true, None);
         if harmless {
-            let retry_after =
-                self.deployment.longest_retry_after.map(|longest| longest.min(self.slo(seq) / 2));
-            Schedule::Rejected { retry_after, release }
+            let longest = self.deployment.longest_retry_after;
+            Schedule::Rejected { retry_after: longest.map(|most| most.min(self.slo(seq) / 2)), release }
         } else {
             Schedule::Aborted { release }
         }
@@ -626,12 +697,13 @@
     /// Books an attempt: its load, the text its reader will keep, and its place in a cold server's budget.
     fn send(&mut self, now: Nanos, seq: &mut Sequence, id: ServerId, step: Step) {
         let server = &self.servers[&id];
-        let (work, credit) = (self.read_work(now, server, seq), self.credit(server, seq));
+        let shared = self.shared(now, seq);
+        let (work, credit) = (self.read_work(now, server, seq, shared), self.credit(server, seq, shared));
         let stream = self.stream_tokens(seq);
         let room = self.memory(server) / self.deployment.gateways as f64;
         let Some(server) = self.servers.get_mut(&id) else { return };
         (server.cold_sent, server.cold_part) = (now, 1.0);
-        if step != Step::Write {
+        if matches!(step, Step::Read | Step::Whole) {
             let before = server.read_in_all;
             if server.kept.len() > KEPT {
                 server.kept.retain(|_, text| before - text.read_before < room);
@@ -643,6 +715,10 @@
             }
             if let Some(id) = seq.prefix {
                 keep(Text::Prefix(id), seq.prefix_tokens);
+                if self.prefixes.len() > KEPT {
+                    self.prefixes.retain(|_, sent| sent.read(now) > 0.1);
+                }
+                self.prefixes.entry(id).or_insert(DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
             }
         }
         let tokens = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
@@ -653,26 +729,33 @@
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
     /// carries of this gateway's sequences stands for capacity; all gateways keep the same part of it.
-    /// Sequences refused do not count, or a storm of retries would pass for capacity. No rate is granted as a
-    /// floor and the first send waits for a part of the pause drawn by lot: with hundreds of gateways a floor
-    /// or a free first send each would add up to many times the rule's figure.
+    /// Sequences refused do not count, or a storm of retries would pass for capacity. There is no floor, and
+    /// the first send waits for a part of the pause drawn by lot: over hundreds of gateways both would add up.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
         let reads = self.role(server) == Role::Reader;
         let pool = self.servers.values().filter(|s| (self.role(s) == Role::Reader) == reads);
         let there = pool.filter(|s| s.listing.condition != Condition::Gone);
         let weight: f64 = there.map(|s| self.weight(s)).sum();
         let fair = self.admitted.per_second(now, self.started) * self.weight(server) / weight.max(1e-9);
-        let cold = server.cold_until.saturating_sub(now) as f64 / self.deployment.cold_for.max(1) as f64;
-        let present = 1.0 - (1.0 - self.deployment.cold_from) * cold.clamp(0.0, 1.0);
+        let present = self.present(now, server);
         let most = COLD_SAFE * self.deployment.cold_multiple * self.deployment.cold_from;
         (server.cold_part * 1e9 / (fair * most.min(COLD_PART * present)).max(1e-9)) as Nanos
     }
 
+    /// The share of its capacity that a server should have by now: a straight line from the stated start.
+    fn present(&self, now: Nanos, server: &Server) -> f64 {
+        let cold = server.cold_until.saturating_sub(now) as f64 / self.deployment.cold_for.max(1) as f64;
+        1.0 - (1.0 - self.deployment.cold_from) * cold.clamp(0.0, 1.0)
+    }
+
     /// What an outcome tells of its server.
     fn learn(&mut self, now: Nanos, seq: SeqId, attempt: &Attempt, outcome: Outcome, began: bool) {
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
         server.out.retain(|out| out.seq != seq);
+        if !began && matches!(outcome, Outcome::ReadDone { .. } | Outcome::TimedOut) {
+            self.times[attempt.step as usize].add(now, rtt as f64);
+        }
         match outcome {
             Outcome::ReadDone { kept } => {
                 server.answer(now);
@@ -684,12 +767,10 @@
                 }
             }
             Outcome::Generated => server.answer(now),
-            Outcome::Full => {
-                server.heard = now;
-                server.full_until = now + FULL_PAUSE;
-            }
+            Outcome::Full => (server.heard, server.full_until) = (now, now + REPORT_LAG),
             Outcome::NoState | Outcome::Error => server.heard = now,
             Outcome::Reset | Outcome::ConnectFailed => server.fail(now),
+            Outcome::TimedOut if attempt.step == Step::Move => {}
             Outcome::TimedOut if !began && server.heard < attempt.sent => server.fail(now),
             Outcome::TimedOut => server.times.add(now, rtt as f64),
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -728,14 +809,10 @@
     }
 }
 
-/// The server with the least of a measure; ties go by lot.
-fn least_by<'a>(
-    open: impl Iterator<Item = &'a Server>,
-    measure: impl Fn(&Server) -> f64,
-) -> Option<ServerId> {
-    let measured = open.map(|server| (measure(server), server));
-    let least = measured.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.lot.total_cmp(&y.lot)));
-    least.map(|(_, server)| server.listing.server)
+/// How late a server comes in for a key: it comes first for its part of all keys, the same at every gateway.
+fn race(key: u64, server: &Server, part: f64) -> f64 {
+    let lot = mix(key ^ mix(server.listing.server.0)) as f64 / u64::MAX as f64;
+    -lot.max(1e-18).ln() / part.max(1e-9)
 }
 
 /// Spreads the bits of a number (the finalizer of splitmix64).
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -172,6 +172,8 @@
 pub enum Step {
     Read,
     Write,
+    /// Written out of the reader's cell: the state has to be moved.
+    Move,
     Whole,
 }
 
