--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! to wait: for the attempt just sent, else before asking again). Other facts are told: `listed`, `refused`,
 //! `began`, `reported`. The types that cross are in `src/interface.rs`; fading sums are in `src/decay.rs`.
 
-use crate::decay::{DecayingSum, FadingTimes};
+use crate::decay::{DecayingSum, FadingShare, FadingTimes};
 use crate::interface::*;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap};
@@ -20,9 +20,10 @@
 const PATIENCE: f64 = 4.5;
 /// Answers of late that a verdict on a server needs.
 const EVIDENCE: f64 = 1.5;
-/// First pause after a failure that speaks against the server; doubles with each further one.
-const SHUN: Nanos = 500_000_000;
-const SHUN_DOUBLINGS: u32 = 4;
+/// Half-life of what is known of a server's failures: a few of a gateway's own sequences.
+const TRUST: Nanos = 10_000_000_000;
+/// Pause after a failure that speaks against the server: a few attempts' time, short against a trouble.
+const SHUN: Nanos = 2_000_000_000;
 /// Reports show a server as it was about this long before; a server that was full is asked again after it.
 const REPORT_LAG: Nanos = 300_000_000;
 /// A writer reported or reckoned fuller than this has no room.
@@ -76,6 +77,9 @@
     waiting: bool,
 }
 
+/// What a server may treat apart: a traffic type of a tenant.
+type Stream = (TypeId, Option<TenantId>);
+
 struct Server {
     listing: Listing,
     report: Report,
@@ -83,9 +87,8 @@
     out: Vec<Out>,
     heard: Nanos,
     times: FadingTimes,
-    strikes: u32,
-    shunned_until: Nanos,
-    full_until: Nanos,
+    paused_until: Nanos,
+    failed: BTreeMap<Stream, FadingShare>,
     cold_until: Nanos,
     /// When it was last sent something while cold, or listed, and the part of a pause to be kept since.
     cold_sent: Nanos,
@@ -106,9 +109,8 @@
             out: Vec::new(),
             heard: 0,
             times: FadingTimes::new(HALF_LIFE),
-            strikes: 0,
-            shunned_until: 0,
-            full_until: 0,
+            paused_until: 0,
+            failed: BTreeMap::new(),
             cold_until,
             cold_sent: now,
             cold_part: lot,
@@ -128,15 +130,6 @@
         let oldest = self.out.iter().filter(|out| out.waiting).map(|out| out.sent).min();
         oldest.map_or(0, |sent| now.saturating_sub(sent.max(self.heard)))
     }
-
-    fn fail(&mut self, now: Nanos) {
-        self.shunned_until = now + (SHUN << self.strikes.min(SHUN_DOUBLINGS));
-        self.strikes += 1;
-    }
-
-    fn answer(&mut self, now: Nanos) {
-        (self.heard, self.strikes) = (now, 0);
-    }
 }
 
 /// A cell's parts of what the fleet's sound readers and writers can do, and of all reads.
@@ -166,6 +159,8 @@
     usual: [Option<(f64, f64)>; 3],
     /// Answer times of late, of all servers together, by step.
     times: [FadingTimes; 4],
+    /// Attempts of late that failed, of all servers together.
+    failed: BTreeMap<Stream, FadingShare>,
     admitted: DecayingSum,
     tenants: Vec<DecayingSum>,
     /// Time that reads took, and the prompt work they were sent into.
@@ -187,6 +182,7 @@
             cells: BTreeMap::new(),
             usual: [None; 3],
             times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
+            failed: BTreeMap::new(),
             admitted: rate.clone(),
             tenants: vec![rate.clone(); deployment.tenants.len()],
             read_time: rate.clone(),
@@ -221,8 +217,8 @@
 
     /// The list could not be had: how long to wait before asking again, jittered so gateways spread out.
     pub fn refused(&mut self) -> Nanos {
-        self.refusals = (self.refusals + 1).min(SHUN_DOUBLINGS);
-        let pause = (SHUN << self.refusals).min(self.deployment.ask_within / 2);
+        self.refusals = (self.refusals + 1).min(4);
+        let pause = ((SHUN / 4) << self.refusals).min(self.deployment.ask_within / 2);
         (pause as f64 * (0.5 + 0.5 * self.chance.rand_float())) as Nanos
     }
 
@@ -279,7 +275,7 @@
         let began = attempt.status == Status::Streaming;
         attempt.status = Status::Closed(got);
         let attempt = attempt.clone();
-        self.learn(now, seq.id, &attempt, got, began);
+        self.learn(now, seq, &attempt, got, began);
         if last || seq.ended {
             seq.ended = true;
             return Settled::Ended { release: got != Outcome::Generated };
@@ -322,7 +318,7 @@
         attempt.status = Status::Streaming;
         seq.state = None;
         if let Some(server) = self.servers.get_mut(&attempt.server) {
-            server.answer(now);
+            server.heard = now;
             let time = now.saturating_sub(attempt.sent) as f64;
             self.times[attempt.step as usize].add(now, time);
             if attempt.step != Step::Move {
@@ -346,7 +342,8 @@
             let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
             let home = homes.get(&s.listing.server).map_or(0.0, |away| nearest / away);
             let last = if self.ready(now, s) { 0.0 } else { LAST };
-            self.read_work(now, s, seq, shared) + (far - HOME * home) * seq.prompt_tokens + last
+            let again = far - HOME * home + 2.0 * self.doubt(now, s, seq);
+            self.read_work(now, s, seq, shared) + again * seq.prompt_tokens + last
         };
         self.least(now, seq, |s| (self.role(s) == Role::Reader).then(|| work(s)))
             .map(|reader| (reader, Step::Read))
@@ -456,7 +453,8 @@
                 (false, true) => SPILL,
                 (false, false) => 1.0,
             };
-            self.decode_load(now, s) + far + if sound(s) { 0.0 } else { LAST * (1.0 + far) }
+            let last = if sound(s) { 0.0 } else { LAST * (1.0 + far) };
+            self.decode_load(now, s) + far + self.doubt(now, s, seq) + last
         };
         let writer = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
         let beside = self.servers[&writer].listing.cell == home.cell;
@@ -505,15 +503,13 @@
         times.quantile(now, deviations).filter(|_| times.weight(now) >= EVIDENCE)
     }
 
-    /// Allowed, and nothing speaks against it. After failures it gets one sequence at a time as a trial.
+    /// Allowed, and nothing speaks against it.
     fn ready(&self, now: Nanos, server: &Server) -> bool {
-        self.allowed(now, server) && now >= server.full_until && self.sound(now, server)
+        self.allowed(now, server) && self.sound(now, server)
     }
 
     fn sound(&self, now: Nanos, server: &Server) -> bool {
-        server.listing.condition == Condition::Ready
-            && (server.strikes == 0 || (now >= server.shunned_until && server.silence(now) == 0))
-            && !self.slow(now, server)
+        server.listing.condition == Condition::Ready && now >= server.paused_until && !self.slow(now, server)
     }
 
     /// Guards against a server that runs far slower than its fellows or has gone silent: by a high quantile
@@ -534,6 +530,18 @@
         Some((*high.get(high.len().saturating_sub(1) / 2)?, *high.get(high.len() / 2)?))
     }
 
+    /// How many further attempts one at this server is likely to need: from the share of attempts of the same
+    /// traffic type and tenant that failed there of late, as at all servers while little is known. Guards against
+    /// servers that fail, leave unanswered or turn away one kind of traffic and serve the others; those are not
+    /// kept from it. Also against ones that are lost. Hurts where failures come by chance.
+    fn doubt(&self, now: Nanos, server: &Server, seq: &Sequence) -> f64 {
+        let stream = (seq.traffic, seq.tenant);
+        let usual = self.failed.get(&stream).map_or(0.0, |all| all.read(now, 0.0));
+        let share = server.failed.get(&stream).map_or(usual, |here| here.read(now, usual));
+        let least = self.failed.values().map(|all| all.read(now, usual)).fold(usual, f64::min);
+        (usual - least) / usual.max(1e-9) * share / (1.0 - share.min(0.9))
+    }
+
     /// How much of a server's last report still holds.
     fn fresh(&self, now: Nanos, server: &Server) -> f64 {
         let age = now.saturating_sub(server.reported) as f64;
@@ -749,16 +757,23 @@
     }
 
     /// What an outcome tells of its server.
-    fn learn(&mut self, now: Nanos, seq: SeqId, attempt: &Attempt, outcome: Outcome, began: bool) {
+    fn learn(&mut self, now: Nanos, seq: &Sequence, attempt: &Attempt, outcome: Outcome, began: bool) {
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
-        server.out.retain(|out| out.seq != seq);
+        server.out.retain(|out| out.seq != seq.id);
+        use Outcome::*;
+        if !matches!(outcome, NoState | Cancelled | NeverSent) {
+            let bad = !began && !matches!(outcome, ReadDone { .. } | Generated);
+            let new = || FadingShare::new(TRUST);
+            server.failed.entry((seq.traffic, seq.tenant)).or_insert_with(new).add(now, bad);
+            self.failed.entry((seq.traffic, seq.tenant)).or_insert_with(new).add(now, bad);
+        }
         if !began && matches!(outcome, Outcome::ReadDone { .. } | Outcome::TimedOut) {
             self.times[attempt.step as usize].add(now, rtt as f64);
         }
         match outcome {
             Outcome::ReadDone { kept } => {
-                server.answer(now);
+                server.heard = now;
                 server.times.add(now, rtt as f64);
                 self.read_time.add(now, rtt as f64);
                 self.read_tokens.add(now, attempt.tokens);
@@ -766,12 +781,11 @@
                     server.kept.retain(|_, text| text.read_before >= server.read_in_all);
                 }
             }
-            Outcome::Generated => server.answer(now),
-            Outcome::Full => (server.heard, server.full_until) = (now, now + REPORT_LAG),
+            Outcome::Generated => server.heard = now,
+            Outcome::Full => (server.heard, server.paused_until) = (now, now + REPORT_LAG),
             Outcome::NoState | Outcome::Error => server.heard = now,
-            Outcome::Reset | Outcome::ConnectFailed => server.fail(now),
+            Outcome::Reset | Outcome::ConnectFailed => server.paused_until = now + SHUN,
             Outcome::TimedOut if attempt.step == Step::Move => {}
-            Outcome::TimedOut if !began && server.heard < attempt.sent => server.fail(now),
             Outcome::TimedOut => server.times.add(now, rtt as f64),
             Outcome::Cancelled | Outcome::NeverSent => {}
         }
--- a/src/decay.rs
+++ b/src/decay.rs
@@ -68,3 +68,26 @@
         Some((mean + deviations * spread).exp())
     }
 }
+
+/// A share of late, of events that went one of two ways.
+#[derive(Clone, Debug)]
+pub struct FadingShare {
+    all: DecayingSum,
+    bad: DecayingSum,
+}
+
+impl FadingShare {
+    pub fn new(half_life: Nanos) -> Self {
+        FadingShare { all: DecayingSum::new(half_life), bad: DecayingSum::new(half_life) }
+    }
+
+    pub fn add(&mut self, now: Nanos, bad: bool) {
+        self.all.add(now, 1.0);
+        self.bad.add(now, if bad { 1.0 } else { 0.0 });
+    }
+
+    /// The share of bad ones, where `usual` counts for one event.
+    pub fn read(&self, now: Nanos, usual: f64) -> f64 {
+        (self.bad.read(now) + usual) / (self.all.read(now) + 1.0)
+    }
+}
