A server is doubted by traffic type and tenant, as far as one kind fails more

Hurts where one kind fails more by chance. Test: a type that fails at one reader leaves it, another stays.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -142,7 +142,6 @@
 }
 
 impl Cell {
-    /// What its writers can take beyond what is read beside them.
     fn spare(&self) -> f64 {
         (self.writers - self.reads).max(0.0)
     }
@@ -251,16 +250,14 @@
             Some((reader, _)) => self.pick_writer(now, seq, reader),
             None => self.pick_mixed(now, seq).or_else(|| self.pick_reader(now, seq)),
         };
-        let Some((server, step)) = picked.or_else(|| self.pick_whole(now, seq).filter(|_| state.is_none()))
-        else {
+        let whole = || self.pick_whole(now, seq).filter(|_| state.is_none());
+        let Some((server, step)) = picked.or_else(whole) else {
             return if self.may_hold(now, seq) { Schedule::NotYet } else { self.give_up(now, seq) };
         };
         if first && self.overloaded(now, seq, server, step) {
             return self.give_up(now, seq);
         }
-        if first {
-            self.admitted.add(now, 1.0);
-        }
+        self.admitted.add(now, if first { 1.0 } else { 0.0 });
         seq.admitted = true;
         self.send(now, seq, server, step);
         Schedule::Send(server)
@@ -296,7 +293,7 @@
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
             return RECHECK.min(left);
         };
-        if attempt.step != Step::Read && self.effect(seq) == Effect::OnceOnly {
+        if attempt.step != Step::Read && self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
         let fellows = self.usual[self.role(&self.servers[&attempt.server]) as usize].map(|(_, high)| high);
@@ -308,8 +305,7 @@
             _ => fellows,
         };
         let least = self.slo(seq) as f64 / 6.0;
-        (PATIENCE * usual.map_or(left as f64 / 2.0 / PATIENCE, |usual| usual.max(least))).min(left as f64)
-            as Nanos
+        usual.map_or(left / 2, |usual| (PATIENCE * usual.max(least)) as Nanos).min(left)
     }
 
     /// The first token of attempt `n` has come.
@@ -358,23 +354,21 @@
     }
 
     /// How far each reader is from being this session's home, to which every gateway turns: a hash, by the part
-    /// of all reads that the reader should get, own zone first as far as its readers go round. Guards against
-    /// reading long texts anew when a gateway has restarted or a session comes through another one, and against
-    /// cells that have many readers and few writers, or the other way round.
+    /// of all reads it should get, own zone first as far as its readers go round. Guards against reading texts
+    /// anew when a gateway has restarted or a session comes through another one, and against skewed cells.
     fn homes(&self, seq: &Sequence) -> HashMap<ServerId, f64> {
         let key = seq.session.map_or(seq.id.0, |session| session.0);
         let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
         self.cells.values().for_each(|c| *zones.entry(c.zone).or_default() += c.reads);
         let even = 1.0 / zones.len().max(1) as f64;
-        let here = zones.get(&self.deployment.zone).map_or(0.0, |part| (part / even).min(1.0));
+        let own = zones.get(&self.deployment.zone).copied().unwrap_or(0.0);
         let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
+        let short = (even - own).max(0.0) / spare.max(1e-9);
         let away = |s: &Server| {
             let cell = self.cells.get(&s.listing.cell)?;
             let part = zones[&cell.zone].max(1e-9);
-            let zone = match cell.zone == self.deployment.zone {
-                true => here,
-                false => (1.0 - here) * (part - even).max(0.0) / spare.max(1e-9),
-            };
+            let here = cell.zone == self.deployment.zone;
+            let zone = if here { part.min(even) } else { (part - even).max(0.0) * short };
             let part = zone * cell.reads / part * self.weight(s) / cell.readers.max(1e-9);
             Some((s.listing.server, race(key, s, part)))
         };
@@ -388,21 +382,18 @@
             return;
         }
         self.surveyed = Some(now);
-        for role in [Role::Reader, Role::Writer, Role::Mixed] {
-            self.usual[role as usize] = self.middle_times(now, role);
-        }
+        self.usual = [Role::Reader, Role::Writer, Role::Mixed].map(|role| self.middle_times(now, role));
         let mut cells: BTreeMap<CellId, Cell> = BTreeMap::new();
         for s in self.servers.values() {
-            let part = if self.sound(now, s) { self.weight(s) * self.present(now, s) } else { 0.0 };
-            let zone = s.listing.zone;
-            let cell = cells.entry(s.listing.cell);
-            let cell = cell.or_insert(Cell { zone, readers: 0.0, writers: 0.0, reads: 0.0 });
+            let part = self.weight(s) * self.present(now, s);
+            let empty = Cell { zone: s.listing.zone, readers: 0.0, writers: 0.0, reads: 0.0 };
+            let cell = cells.entry(s.listing.cell).or_insert(empty);
             match self.role(s) {
                 // By the list alone: a verdict that comes and goes must not move sessions from home to home.
-                Role::Reader if s.listing.condition == Condition::Ready => {
-                    cell.readers += self.weight(s) * self.present(now, s)
+                Role::Reader if s.listing.condition == Condition::Ready => cell.readers += part,
+                Role::Writer if self.sound(now, s) && self.decode_load(now, s) <= FULL => {
+                    cell.writers += part
                 }
-                Role::Writer if self.decode_load(now, s) <= FULL => cell.writers += part,
                 _ => {}
             }
         }
@@ -530,10 +521,9 @@
         Some((*high.get(high.len().saturating_sub(1) / 2)?, *high.get(high.len() / 2)?))
     }
 
-    /// How many further attempts one at this server is likely to need: from the share of attempts of the same
-    /// traffic type and tenant that failed there of late, as at all servers while little is known. Guards against
-    /// servers that fail, leave unanswered or turn away one kind of traffic and serve the others; those are not
-    /// kept from it. Also against ones that are lost. Hurts where failures come by chance.
+    /// How many further attempts one here is likely to need, by the share of attempts of the same traffic type
+    /// and tenant that failed here of late, as far as that kind fails more than others. Guards against servers
+    /// that fail, leave unanswered or turn away one kind of traffic and serve the rest, which go on to them.
     fn doubt(&self, now: Nanos, server: &Server, seq: &Sequence) -> f64 {
         let stream = (seq.traffic, seq.tenant);
         let usual = self.failed.get(&stream).map_or(0.0, |all| all.read(now, 0.0));
@@ -651,7 +641,7 @@
 
     /// Nothing further: its attempts are used up, or it is once-only and one may have run.
     fn spent(&self, seq: &Sequence) -> bool {
-        let once = self.effect(seq) == Effect::OnceOnly;
+        let once = self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly;
         seq.attempts.len() >= self.most_attempts(seq) || (once && self.maybe_ran(seq).is_some())
     }
 
@@ -666,7 +656,9 @@
 
     /// Tokened: once an attempt may have run, only within the group that knows its repeats, and in its time.
     fn in_scope(&self, now: Nanos, seq: &Sequence, server: &Server) -> bool {
-        let Effect::Tokened { scope, window } = self.effect(seq) else { return true };
+        let Effect::Tokened { scope, window } = self.deployment.types[seq.traffic.0].effect else {
+            return true;
+        };
         let Some(first) = self.maybe_ran(seq) else { return true };
         let Some(known) = self.servers.get(&first.server) else { return false };
         now < first.sent + window
@@ -688,7 +680,7 @@
     /// The final answer: a rejection where a retry is provably harmless, an abort elsewhere.
     fn give_up(&self, now: Nanos, seq: &mut Sequence) -> Schedule {
         let release = !seq.attempts.is_empty();
-        let harmless = match (self.maybe_ran(seq), self.effect(seq)) {
+        let harmless = match (self.maybe_ran(seq), self.deployment.types[seq.traffic.0].effect) {
             (None, _) | (_, Effect::Repeatable) => true,
             (Some(first), Effect::Tokened { scope: Scope::All, window }) => now < first.sent + window,
             _ => false,
@@ -729,19 +721,18 @@
                 self.prefixes.entry(id).or_insert(DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
             }
         }
-        let tokens = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
-        server.out.push(Out { seq: seq.id, sent: now, tokens, waiting: true });
-        let tokens = if step == Step::Read { work } else { tokens };
+        let own = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
+        server.out.push(Out { seq: seq.id, sent: now, tokens: own, waiting: true });
+        let tokens = if step == Step::Read { work } else { own };
         seq.attempts.push(Attempt { server: id, sent: now, step, status: Status::Out, tokens, credit });
     }
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
-    /// carries of this gateway's sequences stands for capacity; all gateways keep the same part of it.
-    /// Sequences refused do not count, or a storm of retries would pass for capacity. There is no floor, and
-    /// the first send waits for a part of the pause drawn by lot: over hundreds of gateways both would add up.
+    /// carries of its admitted sequences stands for capacity; all gateways keep the same part. There is no floor,
+    /// and the first send waits for a part of the pause drawn by lot: over hundreds of gateways both add up.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
-        let reads = self.role(server) == Role::Reader;
-        let pool = self.servers.values().filter(|s| (self.role(s) == Role::Reader) == reads);
+        let reads = |s: &Server| self.role(s) == Role::Reader;
+        let pool = self.servers.values().filter(|s| reads(s) == reads(server));
         let there = pool.filter(|s| s.listing.condition != Condition::Gone);
         let weight: f64 = there.map(|s| self.weight(s)).sum();
         let fair = self.admitted.per_second(now, self.started) * self.weight(server) / weight.max(1e-9);
@@ -756,38 +747,37 @@
         1.0 - (1.0 - self.deployment.cold_from) * cold.clamp(0.0, 1.0)
     }
 
-    /// What an outcome tells of its server.
     fn learn(&mut self, now: Nanos, seq: &Sequence, attempt: &Attempt, outcome: Outcome, began: bool) {
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
         server.out.retain(|out| out.seq != seq.id);
         use Outcome::*;
+        let time = if matches!(outcome, ReadDone { .. } | TimedOut) && !began { rtt as f64 } else { 0.0 };
+        if time > 0.0 {
+            self.times[attempt.step as usize].add(now, time);
+        }
         if !matches!(outcome, NoState | Cancelled | NeverSent) {
             let bad = !began && !matches!(outcome, ReadDone { .. } | Generated);
             let new = || FadingShare::new(TRUST);
             server.failed.entry((seq.traffic, seq.tenant)).or_insert_with(new).add(now, bad);
             self.failed.entry((seq.traffic, seq.tenant)).or_insert_with(new).add(now, bad);
         }
-        if !began && matches!(outcome, Outcome::ReadDone { .. } | Outcome::TimedOut) {
-            self.times[attempt.step as usize].add(now, rtt as f64);
-        }
         match outcome {
-            Outcome::ReadDone { kept } => {
+            ReadDone { kept } => {
                 server.heard = now;
-                server.times.add(now, rtt as f64);
-                self.read_time.add(now, rtt as f64);
+                server.times.add(now, time);
+                self.read_time.add(now, time);
                 self.read_tokens.add(now, attempt.tokens);
                 if kept + 1.0 < attempt.credit / 2.0 {
                     server.kept.retain(|_, text| text.read_before >= server.read_in_all);
                 }
             }
-            Outcome::Generated => server.heard = now,
-            Outcome::Full => (server.heard, server.paused_until) = (now, now + REPORT_LAG),
-            Outcome::NoState | Outcome::Error => server.heard = now,
-            Outcome::Reset | Outcome::ConnectFailed => server.paused_until = now + SHUN,
-            Outcome::TimedOut if attempt.step == Step::Move => {}
-            Outcome::TimedOut => server.times.add(now, rtt as f64),
-            Outcome::Cancelled | Outcome::NeverSent => {}
+            // A server that is full says so at once; one that takes its time means this kind of traffic.
+            Full if rtt < REPORT_LAG => (server.heard, server.paused_until) = (now, now + REPORT_LAG),
+            Generated | Full | NoState | Error => server.heard = now,
+            Reset | ConnectFailed => server.paused_until = now + SHUN,
+            TimedOut if attempt.step != Step::Move => server.times.add(now, rtt as f64),
+            TimedOut | Cancelled | NeverSent => {}
         }
     }
 
@@ -806,10 +796,6 @@
         }
     }
 
-    fn effect(&self, seq: &Sequence) -> Effect {
-        self.deployment.types[seq.traffic.0].effect
-    }
-
     fn slo(&self, seq: &Sequence) -> Nanos {
         let traffic = &self.deployment.types[seq.traffic.0];
         traffic.latency_slo.saturating_add((seq.prompt_tokens * traffic.slo_per_prompt_token as f64) as Nanos)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -287,3 +287,33 @@
     assert!(reads.iter().all(|sent| (60..150).contains(sent)), "{work:?}");
     assert!(writes[0] < 150 && writes[1] > 250, "{work:?}");
 }
+
+#[test]
+fn a_server_that_fails_one_traffic_type_is_left_by_it_and_kept_by_the_others() {
+    let mut brain = brain(deployment(), &fleet());
+    for id in 0..8 {
+        let now = START + id * 100 * MS;
+        for traffic in [0, 2] {
+            let mut seq = sequence(id * 2 + traffic as u64, traffic, now);
+            seq.session = None;
+            let reader = sent(brain.schedule(now, &mut seq));
+            let failing = traffic == 0 && reader == ServerId(0);
+            let outcome = if failing { Outcome::Error } else { Outcome::ReadDone { kept: 0.0 } };
+            close(&mut brain, now + 30 * MS, &mut seq, outcome);
+            seq.ended = true;
+        }
+    }
+    let mut sends = [[0; 6]; 3];
+    for id in 100..120 {
+        let now = START + id * 50 * MS;
+        for traffic in [0, 2] {
+            let mut seq = sequence(id * 2 + traffic as u64, traffic, now);
+            seq.session = None;
+            let reader = sent(brain.schedule(now, &mut seq));
+            sends[traffic][reader.0 as usize] += 1;
+            close(&mut brain, now + 30 * MS, &mut seq, Outcome::Cancelled);
+            seq.ended = true;
+        }
+    }
+    assert!(sends[0][0] == 0 && sends[2][0] > 4, "{sends:?}");
+}
