Time limits come from all servers' answers while none has enough of its own

Change: the high quantile of all servers' answers by step stands in, doubled for reads, whose queues differ; time-outs count as answers, so that a jam lengthens the limits.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,6 +18,8 @@
 const SLOW: f64 = 3.0;
 /// An attempt may take this many times what its fellows take of late, a sixth of the SLO at the least.
 const PATIENCE: f64 = 4.5;
+/// Where no reader has answered often enough, reads may take this many times what all take together.
+const QUEUE: f64 = 2.0;
 /// Answers of late that a verdict on a server needs.
 const EVIDENCE: f64 = 1.5;
 /// Half-life of what is known of a server's failures: a few of a gateway's own sequences.
@@ -241,7 +243,7 @@
         if now + RECHECK >= seq.abandon_at || self.spent(seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking writers for a state that went with its reader; its clock runs on.
+        // Guards against asking for a state that went with its reader; its clock runs on.
         let state = seq.state.filter(|(reader, since)| {
             let reader = self.servers.get(reader).map(|s| &s.listing);
             reader.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
@@ -285,9 +287,8 @@
         Settled::Schedule
     }
 
-    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking.
-    /// Where nothing is known of such servers it is half the time left: a gateway that starts into a jam must
-    /// not add to it by reading everything several times.
+    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking. Where
+    /// nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         let left = seq.abandon_at.saturating_sub(now);
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
@@ -296,23 +297,22 @@
         if attempt.step != Step::Read && self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
+        let work = self.read_pace(now) * attempt.tokens;
         let fellows = self.usual[self.role(&self.servers[&attempt.server]) as usize].map(|(_, high)| high);
+        let all = self.known_time(now, attempt.step, HIGH);
         let usual = match attempt.step {
-            // A queue is no reason to read elsewhere anew.
-            Step::Read => fellows.map(|fellows| fellows.max(self.read_pace(now) * attempt.tokens)),
-            // Nor is a slow link one to move elsewhere: it would be loaded twice.
-            Step::Move => self.known_time(now, Step::Move, HIGH).map(|time| time.max(fellows.unwrap_or(0.0))),
-            _ => fellows,
+            // A queue is no reason to read elsewhere anew, nor a slow link to move elsewhere.
+            Step::Read => fellows.or(all.map(|all| QUEUE * all)).map(|time| time.max(work)),
+            Step::Move => all.map(|all| all.max(fellows.unwrap_or(0.0))),
+            _ => fellows.or(all),
         };
-        let least = self.slo(seq) as f64 / 6.0;
-        usual.map_or(left / 2, |usual| (PATIENCE * usual.max(least)) as Nanos).min(left)
+        usual.map_or(left / 2, |usual| (PATIENCE * usual.max(self.slo(seq) as f64 / 6.0)) as Nanos).min(left)
     }
 
     /// The first token of attempt `n` has come.
     pub fn began(&mut self, now: Nanos, seq: &mut Sequence, n: usize) {
         let Some(attempt) = seq.attempts.get_mut(n) else { return };
-        attempt.status = Status::Streaming;
-        seq.state = None;
+        (attempt.status, seq.state) = (Status::Streaming, None);
         if let Some(server) = self.servers.get_mut(&attempt.server) {
             server.heard = now;
             let time = now.saturating_sub(attempt.sent) as f64;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -317,3 +317,21 @@
     }
     assert!(sends[0][0] == 0 && sends[2][0] > 4, "{sends:?}");
 }
+
+#[test]
+fn a_gateway_with_little_traffic_takes_its_time_limits_from_all_servers_together() {
+    let mut brain = brain(Deployment { gateways: 100, ..deployment() }, &fleet());
+    for id in 0..4 {
+        let now = START + id * 500 * MS;
+        let mut seq = sequence(id, 0, now);
+        seq.session = None;
+        let reader = sent(brain.schedule(now, &mut seq));
+        close(&mut brain, now + 60 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        brain.reported(now, reader, Report::default());
+    }
+    let now = START + 6000 * MS;
+    let mut seq = sequence(9, 0, now);
+    sent(brain.schedule(now, &mut seq));
+    let limit = brain.wait(now, &seq);
+    assert!(limit > 400 * MS && limit < 1500 * MS, "{limit}");
+}
