--- a/drill/src/decode.rs
+++ b/drill/src/decode.rs
@@ -248,7 +248,6 @@
             true => Some(nanos(s, "allowed.maxRetryAfter")?),
             false => None,
         },
-        loads_by_probe: word(s, "report.how")? == "on_probe" && flag(s, "allowed.probes")?,
         writers_read: flag(s, "specifics.readInPlace")?,
         release_within: nanos(s, "specifics.releaseWithin")?,
         cold_for: nanos(s, "rules.cold")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,8 +37,6 @@
     pub ask_within: Nanos,
     pub max_attempts: usize,
     pub longest_retry_after: Option<Nanos>,
-    /// Load reports come with probes only, and probes are allowed.
-    pub loads_by_probe: bool,
     pub writers_read: bool,
     pub release_within: Nanos,
     pub cold_for: Nanos,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,7 +33,6 @@
         ask_within: 10_000 * MS,
         max_attempts: 4,
         longest_retry_after: Some(500 * MS),
-        loads_by_probe: false,
         writers_read: false,
         release_within: 300 * MS,
         cold_for: 10_000 * MS,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -69,6 +69,28 @@
     assert_eq!(brain.settle(START + 60 * MS, &mut seq, 0, Outcome::Reset, false), Settled::Wait);
 }
 
+#[test]
+fn empty_pools_and_lists_that_repeat_themselves_end_in_an_answer() {
+    let one_kind = |kind| fleet().into_iter().filter(|l| l.kind == KindId(kind)).collect::<Vec<_>>();
+    let twice = [entry(0, 0, 0), Listing { since: START, ..entry(0, 0, 0) }, entry(0, 0, 0)];
+    for list in [Vec::new(), one_kind(0), one_kind(1), twice.to_vec()] {
+        for gateways in [1, 5000] {
+            let mut brain = brain(Deployment { gateways, ..deployment() }, &list);
+            let (mut now, mut seq) = (START, sequence(1, 0, START));
+            let over = (0..200).any(|_| {
+                let answer = brain.schedule(now, &mut seq);
+                now += brain.wait(now, &seq).max(1);
+                if let Schedule::Send(_) = answer {
+                    let outcome = Outcome::ReadDone { kept: 0.0 };
+                    close(&mut brain, now, &mut seq, outcome);
+                }
+                matches!(answer, Schedule::Rejected { .. } | Schedule::Aborted { .. })
+            });
+            assert!(over && now <= seq.abandon_at);
+        }
+    }
+}
+
 #[test]
 fn readers_without_room_beside_them_still_take_their_part() {
     let mut brain = brain(deployment(), &fleet());
