Work once refused does not stay refused: the read guess fades

Now the guess counts a tenth of its own work as read in no time, over 2 s in place of 4 s.

Also guards starts with one slow read. Hurts where a jam lasts and reads are few.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,6 +12,10 @@
 
 /// Memory of measured times and rates: long against one answer, short against a trouble.
 const HALF_LIFE: Nanos = 4_000_000_000;
+/// Memory of the read pace that refusal goes by: a jam that has cleared must not go on turning work away.
+const READ_LIFE: Nanos = 2_000_000_000;
+/// Part of its own work that a guess takes to have been read in no time, or work once refused stays refused.
+const UNREAD: f64 = 0.1;
 /// A high quantile, about the 95th of a hundred, in deviations of the logarithm.
 const HIGH: f64 = 1.65;
 /// A server is slow when its high quantile is this many times its fellows'.
@@ -122,7 +126,6 @@
         }
     }
 
-    /// Own tokens out here, sent after `since`.
     fn own_tokens(&self, since: Nanos) -> f64 {
         self.out.iter().filter(|out| out.sent >= since).map(|out| out.tokens).sum()
     }
@@ -174,7 +177,6 @@
 
 impl Brain {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
-        let rate = DecayingSum::new(HALF_LIFE);
         Brain {
             started: now,
             chance: Rand64::new(seed.into()),
@@ -184,10 +186,10 @@
             usual: [None; 3],
             times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
             failed: BTreeMap::new(),
-            admitted: rate.clone(),
-            tenants: vec![rate.clone(); deployment.tenants.len()],
-            read_time: rate.clone(),
-            read_tokens: rate,
+            admitted: DecayingSum::new(HALF_LIFE),
+            tenants: vec![DecayingSum::new(HALF_LIFE); deployment.tenants.len()],
+            read_time: DecayingSum::new(READ_LIFE),
+            read_tokens: DecayingSum::new(READ_LIFE),
             prefixes: HashMap::new(),
             refusals: 0,
             deployment,
@@ -297,7 +299,7 @@
         if attempt.step != Step::Read && self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly {
             return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
         }
-        let work = self.read_pace(now) * attempt.tokens;
+        let work = self.read_wait(now, attempt.tokens);
         let fellows = self.usual[self.role(&self.servers[&attempt.server]) as usize].map(|(_, high)| high);
         let all = self.known_time(now, attempt.step, HIGH);
         let usual = match attempt.step {
@@ -507,9 +509,8 @@
     /// of its answer times, or by how long it has been quiet. Old verdicts fade, so it is tried again.
     fn slow(&self, now: Nanos, server: &Server) -> bool {
         let Some((usual, _)) = self.usual[self.role(server) as usize] else { return false };
-        let known = server.times.weight(now) >= EVIDENCE;
-        known && server.times.quantile(now, HIGH).is_some_and(|own| own > SLOW * usual)
-            || server.silence(now) as f64 > SLOW * usual
+        let own = server.times.quantile(now, HIGH).filter(|_| server.times.weight(now) >= EVIDENCE);
+        own.is_some_and(|own| own > SLOW * usual) || server.silence(now) as f64 > SLOW * usual
     }
 
     /// The high quantile of answer times that a role's servers have in the middle: the lower and higher of two.
@@ -532,7 +533,6 @@
         (usual - least) / usual.max(1e-9) * share / (1.0 - share.min(0.9))
     }
 
-    /// How much of a server's last report still holds.
     fn fresh(&self, now: Nanos, server: &Server) -> f64 {
         let age = now.saturating_sub(server.reported) as f64;
         if server.report.memory_share.is_none() { 0.0 } else { (-age / HALF_LIFE as f64).exp2() }
@@ -567,9 +567,9 @@
         queued + seq.prompt_tokens - self.credit(server, seq, shared)
     }
 
-    /// Nanoseconds that a token of prompt work has taken of late, hidden queues included.
-    fn read_pace(&self, now: Nanos) -> f64 {
-        self.read_time.read(now) / self.read_tokens.read(now).max(1.0)
+    /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is known.
+    fn read_wait(&self, now: Nanos, work: f64) -> f64 {
+        self.read_time.read(now) * work / (self.read_tokens.read(now) + UNREAD * work).max(1.0)
     }
 
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways'
@@ -603,7 +603,7 @@
         let wait = match step {
             Step::Read => {
                 let work = self.read_work(now, &self.servers[&server], seq, self.shared(now, seq));
-                self.read_pace(now) * work + time(Step::Write)
+                self.read_wait(now, work) + time(Step::Write)
             }
             step => time(step),
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -357,3 +357,21 @@
     let limit = brain.wait(now, &seq);
     assert!(limit > 400 * MS && limit < 1500 * MS, "{limit}");
 }
+
+#[test]
+fn a_jam_that_has_cleared_does_not_go_on_turning_work_away() {
+    let mut brain = brain(deployment(), &fleet());
+    let mut take = |now: Nanos, id: u64, time: Nanos| {
+        let mut seq = sequence(id, 1, now);
+        (seq.session, seq.prompt_tokens, seq.prefix) = (None, 3000.0, None);
+        let answer = brain.schedule(now, &mut seq);
+        if let Schedule::Send(_) = answer {
+            close(&mut brain, now + time, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            seq.ended = true;
+        }
+        matches!(answer, Schedule::Send(_))
+    };
+    let jammed = (0..20).filter(|id| take(START + id * 100 * MS, *id, 3000 * MS)).count();
+    let cleared = (20..60).filter(|id| take(START + id * 500 * MS, *id, 50 * MS)).count();
+    assert!(jammed < 10 && cleared > 20, "{jammed} {cleared}");
+}
