Conductor: sequences, timers and final answers round the decisions, without I/O

The bench's adapter kept the sequences itself, so a gateway would have had to write that again. The conductor now holds them, with the timers, the state of each attempt and the one final answer; the adapter writes its actions on the simulator's wire. Beside it: what an ending proves, room and times to come back, pace of streams, the weight of a request. Places for the packages of the running program are laid out.

--- /dev/null
+++ b/chat/src/lib.rs
@@ -0,0 +1,1 @@
+//! The OpenAI-style chat API over the gateway.
--- /dev/null
+++ b/conductor/src/conductor.rs
@@ -0,0 +1,506 @@
+//! The sequences in hand: events in, actions out.
+
+use crate::pace;
+use crate::proof::Ending;
+use petrelshore::Brain;
+use petrelshore::interface::*;
+use std::collections::{BTreeSet, HashMap};
+
+/// Whether what a writer says goes to the client at once, or when it is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relay {
+    /// The client sees each token: a stream that breaks has ended for it.
+    Streamed,
+    /// The client has seen nothing before the end: a broken stream may be written again.
+    Whole,
+}
+
+/// A sequence as a front hands it over.
+#[derive(Clone, Debug)]
+pub struct NewSequence {
+    pub id: SeqId,
+    pub traffic: TypeId,
+    pub tenant: Option<TenantId>,
+    pub session: Option<SessionId>,
+    pub prefix: Option<PrefixId>,
+    pub prompt_tokens: f64,
+    pub prefix_tokens: f64,
+    pub max_out: f64,
+    pub hint: Option<Nanos>,
+    pub resumed: bool,
+    pub relay: Relay,
+    /// When the sequence is given up if no token has come.
+    pub abandon_at: Nanos,
+}
+
+/// An attempt to be sent now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Dispatch {
+    pub id: SeqId,
+    /// Number of the attempt within its sequence, from zero.
+    pub attempt: usize,
+    pub server: ServerId,
+    pub step: Step,
+    /// The reader from which a writer fetches the read state.
+    pub reader: Option<ServerId>,
+    /// Time to the end of a read or to the first token.
+    pub limit: Nanos,
+    /// Send on a new connection: a pooled one that closes under it would leave once-only work unproven.
+    pub fresh: bool,
+}
+
+/// Why a sequence was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Reason {
+    /// No server could take it, or too late for it to be worth anything.
+    NoRoom,
+    /// Its attempts are used up.
+    Failed,
+    /// Its client's time was about to end.
+    OutOfTime,
+    /// The stream broke after the client had seen part of it.
+    Broken,
+    /// The client took nothing of its stream.
+    Stalled,
+    /// The gateway is stopping.
+    Draining,
+}
+
+/// What a shell carries out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    Send(Dispatch),
+    /// Break an attempt off; of a read, let go of what it may leave behind.
+    Cancel {
+        id: SeqId,
+        attempt: usize,
+        server: ServerId,
+    },
+    /// Let go of every state held for it that no attempt waits on.
+    Release {
+        id: SeqId,
+    },
+    /// Final: trying again is harmless.
+    Reject {
+        id: SeqId,
+        retry_after: Option<Nanos>,
+        reason: Reason,
+    },
+    /// Final: nothing is promised.
+    Abort {
+        id: SeqId,
+        reason: Reason,
+    },
+    /// Final: the last attempt's outcome ended it.
+    Over {
+        id: SeqId,
+        outcome: Outcome,
+        reason: Option<Reason>,
+    },
+    /// Ask again at that time. Shells that run [`Conductor::due`] need not act.
+    AskAt {
+        id: SeqId,
+        at: Nanos,
+    },
+    /// Ask for the list at that time.
+    AskList {
+        at: Nanos,
+    },
+}
+
+/// What has passed so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub generated: u64,
+    pub rejected: u64,
+    pub aborted: u64,
+    pub withdrawn: u64,
+    pub attempts: u64,
+    pub timed_out: u64,
+}
+
+struct Held {
+    seq: Sequence,
+    relay: Relay,
+    /// When its timer is due; `NEVER` without one.
+    due: Nanos,
+    ends_by: Nanos,
+    /// Its stream's last token.
+    heard: Nanos,
+    stalled_since: Option<Nanos>,
+}
+
+const NEVER: Nanos = Nanos::MAX;
+
+pub struct Conductor {
+    brain: Brain,
+    types: Vec<TrafficType>,
+    held: HashMap<SeqId, Held>,
+    timers: BTreeSet<(Nanos, SeqId)>,
+    draining: bool,
+    counts: Counts,
+}
+
+impl Conductor {
+    pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
+        Conductor {
+            types: deployment.types.clone(),
+            brain: Brain::new(now, deployment, seed),
+            held: HashMap::new(),
+            timers: BTreeSet::new(),
+            draining: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// A front hands a sequence over; from here on it is owed exactly one final answer.
+    pub fn take(&mut self, now: Nanos, new: NewSequence, out: &mut Vec<Action>) {
+        let id = new.id;
+        self.counts.taken += 1;
+        let held = Held {
+            relay: new.relay,
+            due: NEVER,
+            ends_by: pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out),
+            heard: now,
+            stalled_since: None,
+            seq: Sequence {
+                id,
+                traffic: new.traffic,
+                tenant: new.tenant,
+                session: new.session,
+                prefix: new.prefix,
+                prompt_tokens: new.prompt_tokens,
+                prefix_tokens: new.prefix_tokens,
+                max_out: new.max_out,
+                hint: new.hint,
+                resumed: new.resumed,
+                arrived: now,
+                abandon_at: new.abandon_at,
+                attempts: Vec::new(),
+                state: None,
+                admitted: false,
+                ended: false,
+            },
+        };
+        self.held.insert(id, held);
+        if self.draining {
+            self.finish(now, id, Reason::Draining, out);
+        } else {
+            self.schedule(now, id, Reason::NoRoom, out);
+        }
+    }
+
+    /// The first token of an attempt has come.
+    pub fn began(&mut self, now: Nanos, id: SeqId, attempt: usize) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if held.seq.attempts.get(attempt).is_none_or(|a| a.status != Status::Out) {
+            return;
+        }
+        self.brain.began(now, &mut held.seq, attempt);
+        held.heard = now;
+        self.rearm(now, id);
+    }
+
+    /// A token of a running stream has come.
+    pub fn progressed(&mut self, now: Nanos, id: SeqId) {
+        // The timer is moved when it comes due, not for each token.
+        if let Some(held) = self.held.get_mut(&id) {
+            held.heard = now;
+        }
+    }
+
+    /// The client has stopped taking its stream, or takes it again.
+    pub fn stalled(&mut self, now: Nanos, id: SeqId, stalled: bool) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.heard = now;
+        held.stalled_since = stalled.then_some(now);
+        self.rearm(now, id);
+    }
+
+    /// An attempt has ended, as its socket showed. What the client has seen of it decides whether it goes on.
+    pub fn ended(&mut self, now: Nanos, id: SeqId, attempt: usize, ending: Ending, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&id) else { return };
+        let Some(status) = held.seq.attempts.get(attempt).map(|a| a.status) else { return };
+        let began = status == Status::Streaming;
+        let outcome = ending.outcome(began);
+        let last = outcome == Outcome::Generated || (began && held.relay == Relay::Streamed);
+        let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
+        self.settle(now, id, attempt, outcome, last, reason, out);
+    }
+
+    /// An attempt has ended with a known outcome; `last` where that ended its sequence.
+    pub fn closed(
+        &mut self,
+        now: Nanos,
+        id: SeqId,
+        attempt: usize,
+        outcome: Outcome,
+        last: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
+        self.settle(now, id, attempt, outcome, last, reason, out);
+    }
+
+    /// The client has left. What runs for it is broken off, what is held for it is let go.
+    pub fn withdrawn(&mut self, id: SeqId, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if !held.seq.ended {
+            held.seq.ended = true;
+            self.counts.withdrawn += 1;
+        }
+        if let Some(attempt) = held.seq.attempts.len().checked_sub(1) {
+            let last = &held.seq.attempts[attempt];
+            if !matches!(last.status, Status::Closed(_)) {
+                out.push(Action::Cancel { id, attempt, server: last.server });
+            }
+        }
+        out.push(Action::Release { id });
+        self.disarm(id);
+        self.drop_if_over(id);
+    }
+
+    /// The list of servers, or what has changed in it.
+    pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
+        self.brain.listed(now, scope, entries);
+    }
+
+    /// The list could not be had.
+    pub fn list_refused(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        out.push(Action::AskList { at: now + self.brain.refused() });
+    }
+
+    pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
+        self.brain.reported(now, server, report);
+    }
+
+    /// When [`Conductor::due`] next has something to do.
+    pub fn next_due(&self) -> Option<Nanos> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// Acts on every timer that is due by now.
+    pub fn due(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        while let Some((at, id)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, id));
+            if let Some(held) = self.held.get_mut(&id) {
+                held.due = NEVER;
+                self.timer(now, id, out);
+            }
+        }
+    }
+
+    /// Asks again for a sequence that nothing could take, where a shell keeps that timer itself.
+    pub fn ask_again(&mut self, now: Nanos, id: SeqId, out: &mut Vec<Action>) {
+        self.schedule(now, id, Reason::NoRoom, out);
+    }
+
+    /// Takes nothing further. Running streams go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// The time to drain is over: whatever is in hand gets its final answer now.
+    pub fn finish_all(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        self.draining = true;
+        let mut ids: Vec<SeqId> = self.held.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.finish(now, id, Reason::Draining, out);
+        }
+    }
+
+    /// Sequences in hand that still wait for their final answer.
+    pub fn in_hand(&self) -> usize {
+        self.held.values().filter(|held| !held.seq.ended).count()
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Carries out what the decisions answer for a sequence without an attempt out.
+    fn schedule(&mut self, now: Nanos, id: SeqId, why: Reason, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let release = match self.brain.schedule(now, &mut held.seq) {
+            Schedule::Send(server) => {
+                let limit = self.brain.wait(now, &held.seq).max(1);
+                self.counts.attempts += 1;
+                if let Some(dispatch) = dispatch(&self.types, &held.seq, server, limit) {
+                    out.push(Action::Send(dispatch));
+                }
+                self.arm(id, now.saturating_add(limit));
+                return;
+            }
+            Schedule::NotYet => {
+                let closed = |a: &Attempt| matches!(a.status, Status::Closed(_));
+                if !held.seq.ended && held.seq.attempts.iter().all(closed) {
+                    let at = now + self.brain.wait(now, &held.seq).max(1);
+                    out.push(Action::AskAt { id, at });
+                    self.arm(id, at);
+                }
+                return;
+            }
+            Schedule::Rejected { retry_after, release } => {
+                self.counts.rejected += 1;
+                let reason = given_up(now, &held.seq, why);
+                out.push(Action::Reject { id, retry_after, reason });
+                release
+            }
+            Schedule::Aborted { release } => {
+                self.counts.aborted += 1;
+                let reason = given_up(now, &held.seq, why);
+                out.push(Action::Abort { id, reason });
+                release
+            }
+        };
+        if release {
+            out.push(Action::Release { id });
+        }
+        self.disarm(id);
+        self.drop_if_over(id);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn settle(
+        &mut self,
+        now: Nanos,
+        id: SeqId,
+        attempt: usize,
+        outcome: Outcome,
+        last: bool,
+        reason: Option<Reason>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let answered = held.seq.ended;
+        match self.brain.settle(now, &mut held.seq, attempt, outcome, last) {
+            Settled::Schedule => self.schedule(now, id, Reason::Failed, out),
+            Settled::Wait => {}
+            Settled::Ended { release } => {
+                if !answered {
+                    match outcome {
+                        Outcome::Generated => self.counts.generated += 1,
+                        _ => self.counts.aborted += 1,
+                    }
+                    out.push(Action::Over { id, outcome, reason });
+                }
+                if release {
+                    out.push(Action::Release { id });
+                }
+                self.disarm(id);
+                self.drop_if_over(id);
+            }
+        }
+    }
+
+    /// A sequence's timer is due: its attempt's time is up, its stream is silent, or it is time to ask again.
+    fn timer(&mut self, now: Nanos, id: SeqId, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&id) else { return };
+        let Some(attempt) = held.seq.attempts.len().checked_sub(1) else {
+            return self.schedule(now, id, Reason::NoRoom, out);
+        };
+        let (server, status) = (held.seq.attempts[attempt].server, held.seq.attempts[attempt].status);
+        let reason = match status {
+            Status::Closed(_) => return self.schedule(now, id, Reason::Failed, out),
+            Status::Out => Reason::OutOfTime,
+            Status::Streaming => {
+                if now < self.stream_until(held) {
+                    return self.rearm(now, id);
+                }
+                if held.stalled_since.is_some() { Reason::Stalled } else { Reason::Broken }
+            }
+        };
+        self.counts.timed_out += 1;
+        out.push(Action::Cancel { id, attempt, server });
+        let began = status == Status::Streaming;
+        // A stalled client is no word against its writer.
+        let ending = if reason == Reason::Stalled { Ending::Cancelled } else { Ending::TimedOut };
+        let over = began && (held.relay == Relay::Streamed || now >= held.ends_by);
+        self.settle(now, id, attempt, ending.outcome(began), over, over.then_some(reason), out);
+    }
+
+    /// Gives a sequence up at once: the decisions say whether trying again is harmless.
+    fn finish(&mut self, now: Nanos, id: SeqId, reason: Reason, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&id).filter(|held| !held.seq.ended) else { return };
+        held.seq.abandon_at = now;
+        let running = held.seq.attempts.iter().rposition(|a| !matches!(a.status, Status::Closed(_)));
+        let Some(attempt) = running else { return self.schedule(now, id, reason, out) };
+        let (server, status) = (held.seq.attempts[attempt].server, held.seq.attempts[attempt].status);
+        out.push(Action::Cancel { id, attempt, server });
+        let last = status == Status::Streaming && held.relay == Relay::Streamed;
+        match self.brain.settle(now, &mut held.seq, attempt, Outcome::Cancelled, last) {
+            Settled::Ended { .. } => {
+                self.counts.aborted += 1;
+                out.push(Action::Over { id, outcome: Outcome::Cancelled, reason: Some(reason) });
+                out.push(Action::Release { id });
+                self.disarm(id);
+                self.drop_if_over(id);
+            }
+            _ => self.schedule(now, id, reason, out),
+        }
+    }
+
+    /// Until when a running stream may go on as it does.
+    fn stream_until(&self, held: &Held) -> Nanos {
+        let traffic = &self.types[held.seq.traffic.0];
+        let pause = match held.stalled_since {
+            Some(since) => since.saturating_add(pace::stalled_for()),
+            None => held.heard.saturating_add(pace::silent_for(traffic)),
+        };
+        pause.min(held.ends_by)
+    }
+
+    fn rearm(&mut self, now: Nanos, id: SeqId) {
+        let Some(held) = self.held.get(&id) else { return };
+        if held.seq.attempts.last().is_some_and(|a| a.status == Status::Streaming) {
+            let at = self.stream_until(held).max(now + 1);
+            self.arm(id, at);
+        }
+    }
+
+    fn arm(&mut self, id: SeqId, at: Nanos) {
+        self.disarm(id);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.due = at;
+            self.timers.insert((at, id));
+        }
+    }
+
+    fn disarm(&mut self, id: SeqId) {
+        if let Some(held) = self.held.get_mut(&id) {
+            self.timers.remove(&(held.due, id));
+            held.due = NEVER;
+        }
+    }
+
+    /// An ended sequence is kept only while an attempt of it is out.
+    fn drop_if_over(&mut self, id: SeqId) {
+        let closed = |attempt: &Attempt| matches!(attempt.status, Status::Closed(_));
+        if self.held.get(&id).is_some_and(|held| held.seq.ended && held.seq.attempts.iter().all(closed)) {
+            self.disarm(id);
+            self.held.remove(&id);
+        }
+    }
+}
+
+fn dispatch(types: &[TrafficType], seq: &Sequence, server: ServerId, limit: Nanos) -> Option<Dispatch> {
+    let attempt = seq.attempts.len().checked_sub(1)?;
+    let step = seq.attempts[attempt].step;
+    let writes = matches!(step, Step::Write | Step::Move);
+    Some(Dispatch {
+        id: seq.id,
+        attempt,
+        server,
+        step,
+        reader: seq.state.map(|(reader, _)| reader).filter(|_| writes),
+        limit,
+        fresh: step != Step::Read && types[seq.traffic.0].effect == Effect::OnceOnly,
+    })
+}
+
+/// A sequence that ran to its client's time is told so, whatever came before.
+fn given_up(now: Nanos, seq: &Sequence, why: Reason) -> Reason {
+    if why != Reason::Draining && now >= seq.abandon_at { Reason::OutOfTime } else { why }
+}
--- /dev/null
+++ b/conductor/src/lib.rs
@@ -0,0 +1,15 @@
+//! Holds what a gateway has in hand: sequences, the state of each schedule attempt, and every timer.
+//!
+//! No I/O and no clock: a shell reports events with the time, and carries out the [`Action`]s it gets back. The
+//! bench's adapter and the gateway are two such shells. Where to send and what follows an outcome is asked of
+//! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
+//! ([`proof`]), how much may be held at once ([`limits`]), how long a running stream may be silent or stalled
+//! ([`pace`]), and what a request is to the decisions ([`intake`]).
+
+pub mod conductor;
+pub mod intake;
+pub mod limits;
+pub mod pace;
+pub mod proof;
+
+pub use conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay};
--- /dev/null
+++ b/conductor/src/pace.rs
@@ -0,0 +1,42 @@
+//! How long a running stream may take: between two tokens, while its client does not read, and in all.
+
+use petrelshore::interface::{Nanos, TrafficType};
+
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MILLISECOND;
+/// A final answer leaves this much before its client's time is up, for the way to the client.
+const ANSWER_BEFORE: Nanos = 50 * MILLISECOND;
+/// The part of a very short time that may go to that.
+const ANSWER_PART: u64 = 4;
+/// A stream may pause for so many times its type's pace: a writer that reads a prompt in between, or falls back
+/// to its queue, pauses for long without being lost.
+const SILENT_TOKENS: u64 = 40;
+/// Pauses shorter than this prove nothing, whatever the pace.
+const SILENT_LEAST: Nanos = 2 * SECOND;
+/// A client that takes nothing for this long holds a writer's memory for nobody.
+const STALLED: Nanos = 10 * SECOND;
+/// A whole answer may take so many times what its type's pace allows for its most tokens.
+const WHOLE: u64 = 4;
+/// The least that a whole answer may take after its first token.
+const WHOLE_LEAST: Nanos = 10 * SECOND;
+
+/// When a sequence with no token yet is given up, for a client that waits for `budget` from `arrived`.
+pub fn give_up_at(arrived: Nanos, budget: Nanos) -> Nanos {
+    arrived.saturating_add(budget - ANSWER_BEFORE.min(budget / ANSWER_PART))
+}
+
+/// When a sequence is broken off although its stream runs. Guards against a writer that trickles for ever.
+pub fn ends_by(abandon_at: Nanos, traffic: &TrafficType, most_tokens: f64) -> Nanos {
+    let stream = (most_tokens.max(0.0) as u64).saturating_mul(traffic.token_pace).saturating_mul(WHOLE);
+    abandon_at.saturating_add(stream.max(WHOLE_LEAST))
+}
+
+/// The longest pause of a running stream before its writer counts as lost.
+pub fn silent_for(traffic: &TrafficType) -> Nanos {
+    traffic.token_pace.saturating_mul(SILENT_TOKENS).max(SILENT_LEAST)
+}
+
+/// The longest time for which a client may take nothing of its stream.
+pub fn stalled_for() -> Nanos {
+    STALLED
+}
--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -1,8 +1,9 @@
-//! One gateway: its decisions, its sequences in hand and its timers. It decides nothing itself.
+//! One gateway on the simulator's wire: a shell round the conductor. It decides nothing itself.
 
 use crate::decode::{Line, Malformed, Names, settings};
-use petrelshore::Brain;
 use petrelshore::interface::*;
+use petrelshore_conductor::intake::stable_id;
+use petrelshore_conductor::{Action, Conductor, Dispatch, NewSequence, Relay};
 use std::collections::HashMap;
 use std::fmt::Write;
 
@@ -10,10 +11,10 @@
 
 pub struct Instance {
     number: u64,
-    brain: Brain,
+    conductor: Conductor,
     names: Names,
     servers: HashMap<ServerId, String>,
-    sequences: HashMap<SeqId, Sequence>,
+    actions: Vec<Action>,
 }
 
 impl Instance {
@@ -24,10 +25,10 @@
         }
         Ok(Instance {
             number,
-            brain: Brain::new(now, deployment, line.whole("prng")?),
+            conductor: Conductor::new(now, deployment, line.whole("prng")?),
             names,
             servers: HashMap::new(),
-            sequences: HashMap::new(),
+            actions: Vec::new(),
         })
     }
 
@@ -36,7 +37,7 @@
             None | Some("0") => None,
             Some(_) => Some(TenantId(line.index("team", &self.names.tenants)?)),
         };
-        let seq = Sequence {
+        let new = NewSequence {
             id: line.ticket()?,
             traffic: TypeId(line.index("type", &self.names.types)?),
             tenant,
@@ -47,16 +48,11 @@
             max_out: line.amount("maxTokens")?,
             hint: line.parsed("effort")?,
             resumed: line.flag("again")?,
-            arrived: now,
+            relay: Relay::Streamed,
             abandon_at: now.saturating_add(line.whole::<Nanos>("budget")?),
-            attempts: Vec::new(),
-            state: None,
-            admitted: false,
-            ended: false,
         };
-        let id = seq.id;
-        self.sequences.insert(id, seq);
-        self.schedule(now, id, reply);
+        self.conductor.take(now, new, &mut self.actions);
+        self.carry_out(reply);
         Ok(())
     }
 
@@ -72,20 +68,20 @@
             "all" => ListScope::Whole,
             "remembered" => ListScope::Remembered,
             "refused" => {
-                let at = now + self.brain.refused();
-                let _ = writeln!(reply, "REMIND i={} mark={LIST_MARK} fireAt={at}", self.number);
+                self.conductor.list_refused(now, &mut self.actions);
+                self.carry_out(reply);
                 return Ok(());
             }
             other => return Err(format!("MEMBERS: field kind is malformed or out of range: '{other}'")),
         };
         let entries = entries.iter().map(|entry| self.listing(entry)).collect::<Result<Vec<_>, _>>()?;
-        self.brain.listed(now, scope, &entries);
+        self.conductor.listed(now, scope, &entries);
         Ok(())
     }
 
     fn listing(&mut self, line: &Line) -> Result<Listing, Malformed> {
         let name = line.need("server")?;
-        let server = server_id(name);
+        let server = ServerId(stable_id(name));
         if self.servers.entry(server).or_insert_with(|| name.to_owned()) != name {
             return Err(format!("SERVER: field server: '{name}' cannot be told from another name"));
         }
@@ -109,9 +105,7 @@
 
     pub fn accepted(&mut self, now: Nanos, line: &Line) -> Result<(), Malformed> {
         let n = line.whole("n")?;
-        if let Some(seq) = self.sequences.get_mut(&line.ticket()?) {
-            self.brain.began(now, seq, n);
-        }
+        self.conductor.began(now, line.ticket()?, n);
         Ok(())
     }
 
@@ -133,36 +127,23 @@
         };
         let (id, n, last) = (line.ticket()?, line.whole("n")?, line.flag("last")?);
         self.report(now, line)?;
-        let Some(seq) = self.sequences.get_mut(&id) else { return Ok(()) };
-        match self.brain.settle(now, seq, n, outcome, last) {
-            Settled::Schedule => self.schedule(now, id, reply),
-            Settled::Wait => {}
-            Settled::Ended { release } => {
-                if release {
-                    let _ = writeln!(reply, "FREE_STATE i={} ticket={:016x}", self.number, id.0);
-                }
-                self.drop_if_over(id);
-            }
-        }
+        self.conductor.closed(now, id, n, outcome, last, &mut self.actions);
+        self.carry_out(reply);
         Ok(())
     }
 
     /// A load report, if the line carries one.
     pub fn report(&mut self, now: Nanos, line: &Line) -> Result<(), Malformed> {
-        let server = server_id(line.need("server")?);
+        let server = ServerId(stable_id(line.need("server")?));
         if let Some(report) = line.report(&self.names.report)? {
-            self.brain.reported(now, server, report);
+            self.conductor.reported(now, server, report);
         }
         Ok(())
     }
 
     pub fn withdrawn(&mut self, line: &Line, reply: &mut String) -> Result<(), Malformed> {
-        let id = line.ticket()?;
-        if let Some(seq) = self.sequences.get_mut(&id) {
-            seq.ended = true;
-            let _ = writeln!(reply, "FREE_STATE i={} ticket={:016x}", self.number, id.0);
-            self.drop_if_over(id);
-        }
+        self.conductor.withdrawn(line.ticket()?, &mut self.actions);
+        self.carry_out(reply);
         Ok(())
     }
 
@@ -171,57 +152,34 @@
         if mark == LIST_MARK {
             let _ = writeln!(reply, "SUBSCRIBE i={} want=1", self.number);
         } else if let Ok(id) = u64::from_str_radix(mark, 16) {
-            self.schedule(now, SeqId(id), reply);
+            self.conductor.ask_again(now, SeqId(id), &mut self.actions);
+            self.carry_out(reply);
         }
         Ok(())
     }
 
-    /// Asks where to send a sequence and carries the answer out.
-    fn schedule(&mut self, now: Nanos, id: SeqId, reply: &mut String) {
-        let Some(seq) = self.sequences.get_mut(&id) else { return };
-        let (i, ticket) = (self.number, id.0);
-        let released = match self.brain.schedule(now, seq) {
-            Schedule::Send(server) => {
-                let (limit, name) = (self.brain.wait(now, seq).max(1), &self.servers[&server]);
-                let _ = writeln!(reply, "FORWARD i={i} ticket={ticket:016x} tryFor={limit} server={name}");
-                return;
-            }
-            Schedule::NotYet => {
-                if !seq.ended && seq.attempts.iter().all(|a| matches!(a.status, Status::Closed(_))) {
-                    let at = now + self.brain.wait(now, seq).max(1);
-                    let _ = writeln!(reply, "REMIND i={i} mark={ticket:016x} fireAt={at}");
+    /// Writes the actions that are this wire's to carry out. The simulator itself keeps the time limits, breaks
+    /// off what its clients have left, and gives the last outcomes as final answers.
+    fn carry_out(&mut self, reply: &mut String) {
+        let i = self.number;
+        for action in self.actions.drain(..) {
+            let _ = match action {
+                Action::Send(Dispatch { id, limit, server, .. }) => {
+                    let name = &self.servers[&server];
+                    writeln!(reply, "FORWARD i={i} ticket={:016x} tryFor={limit} server={name}", id.0)
                 }
-                return;
-            }
-            Schedule::Rejected { retry_after, release } => {
-                let _ = match retry_after {
-                    Some(pause) => writeln!(reply, "NOT_NOW i={i} ticket={ticket:016x} coolDown={pause}"),
-                    None => writeln!(reply, "NOT_NOW i={i} ticket={ticket:016x}"),
-                };
-                release
-            }
-            Schedule::Aborted { release } => {
-                let _ = writeln!(reply, "GIVE_UP i={i} ticket={ticket:016x}");
-                release
-            }
-        };
-        if released {
-            let _ = writeln!(reply, "FREE_STATE i={i} ticket={ticket:016x}");
-        }
-        self.drop_if_over(id);
-    }
-
-    /// An ended sequence is kept only while an attempt of it is out.
-    fn drop_if_over(&mut self, id: SeqId) {
-        let closed = |attempt: &Attempt| matches!(attempt.status, Status::Closed(_));
-        if self.sequences.get(&id).is_some_and(|seq| seq.ended && seq.attempts.iter().all(closed)) {
-            self.sequences.remove(&id);
+                Action::AskAt { id, at } => writeln!(reply, "REMIND i={i} mark={:016x} fireAt={at}", id.0),
+                Action::AskList { at } => writeln!(reply, "REMIND i={i} mark={LIST_MARK} fireAt={at}"),
+                Action::Reject { id, retry_after: Some(pause), .. } => {
+                    writeln!(reply, "NOT_NOW i={i} ticket={:016x} coolDown={pause}", id.0)
+                }
+                Action::Reject { id, retry_after: None, .. } => {
+                    writeln!(reply, "NOT_NOW i={i} ticket={:016x}", id.0)
+                }
+                Action::Abort { id, .. } => writeln!(reply, "GIVE_UP i={i} ticket={:016x}", id.0),
+                Action::Release { id } => writeln!(reply, "FREE_STATE i={i} ticket={:016x}", id.0),
+                Action::Cancel { .. } | Action::Over { .. } => Ok(()),
+            };
         }
     }
 }
-
-/// A number for a server's name that is the same at every gateway (FNV-1a).
-fn server_id(name: &str) -> ServerId {
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
-}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gateway: a shell on async-io round the conductor.
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings of a gateway as typed records.
