First running gateway: streamed chat through reader and writer, with stand-ins

The decisions had no program round them. A chat request now goes through the front, the gateway and its conductor to a reader, then to a writer of its cell, and its tokens come back as events; `petrelshore try` runs all of it with ten stand-ins on loopback, `serve` and `check` take a settings file. A stall guard on client sockets, room for sequences, keys in hand, and releases of held states are in.

--- /dev/null
+++ b/chat/src/stall.rs
@@ -0,0 +1,59 @@
+//! A socket that breaks when its peer takes nothing for too long.
+
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncRead, AsyncWrite, Stream, future::FutureExt};
+use std::io::{Error, ErrorKind, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Guards against clients that stop reading: what is written for them would stay in memory for ever.
+pub struct StallGuard {
+    stream: TcpStream,
+    within: Duration,
+    waiting: Option<Timer>,
+}
+
+impl StallGuard {
+    pub fn new(stream: TcpStream, within: Duration) -> Self {
+        StallGuard { stream, within, waiting: None }
+    }
+
+    fn guard<T>(&mut self, context: &mut Context<'_>, wrote: Poll<Result<T>>) -> Poll<Result<T>> {
+        if wrote.is_ready() {
+            self.waiting = None;
+            return wrote;
+        }
+        let timer = self.waiting.get_or_insert_with(|| Timer::after(self.within));
+        match timer.poll(context) {
+            Poll::Ready(_) => Poll::Ready(Err(Error::from(ErrorKind::TimedOut))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(mut self: Pin<&mut Self>, context: &mut Context<'_>, buf: &mut [u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(context, buf)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write(context, buf);
+        self.guard(context, wrote)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.guard(context, flushed)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+/// Texts as a stream of body parts.
+pub type Parts = Pin<Box<dyn Stream<Item = bytes::Bytes>>>;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,1 +1,103 @@
-fn main() {}
+//! The `petrelshore` command: one gateway, and the means to rehearse with it.
+
+mod operator;
+mod serve;
+mod trial;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// Routes chat requests to model servers that read prompts and write answers on separate machines.
+#[derive(Parser)]
+#[command(version, max_term_width = 100)]
+struct Command {
+    #[command(flatten)]
+    logs: Logs,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Args)]
+struct Logs {
+    /// How log lines are written, on standard error
+    #[arg(long, global = true, value_enum, default_value_t = LogForm::Text)]
+    logs: LogForm,
+    /// What is logged, such as "info" or "petrelshore_gateway=debug"
+    #[arg(long, global = true, default_value = "info")]
+    log_filter: String,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Run a gateway by a settings file until SIGTERM; SIGHUP reads its inventory anew
+    Serve {
+        /// The settings file
+        settings: PathBuf,
+    },
+    /// Check a settings file and the inventory that it names, and say every problem
+    Check {
+        /// The settings file
+        settings: PathBuf,
+    },
+    /// Run a gateway before a fleet of stand-ins, all in this process, ready for a client
+    Try {
+        /// Where the chat API listens
+        #[arg(long, default_value = "127.0.0.1:8080")]
+        listen: SocketAddr,
+    },
+    /// Run one stand-in model server
+    StandIn {
+        /// What it does
+        #[arg(long, value_enum)]
+        role: trial::RoleName,
+        /// Where it listens
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Its name
+        #[arg(long, default_value = "stand-in")]
+        name: String,
+        /// Start cold
+        #[arg(long)]
+        cold: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let command = Command::parse();
+    let filter = match EnvFilter::try_new(&command.logs.log_filter) {
+        Ok(filter) => filter,
+        Err(error) => return failed(&format!("--log-filter: {error}")),
+    };
+    let lines = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
+    match command.logs.logs {
+        LogForm::Text => lines.init(),
+        LogForm::Json => lines.json().init(),
+    }
+    let outcome = match command.what {
+        What::Serve { settings } => serve::serve(&settings),
+        What::Check { settings } => serve::check(&settings),
+        What::Try { listen } => trial::try_out(listen),
+        What::StandIn { role, listen, name, cold } => trial::stand_in(role, listen, &name, cold),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => failed(&message),
+    }
+}
+
+fn failed(message: &str) -> ExitCode {
+    eprintln!("petrelshore: {message}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/cli/src/serve.rs
@@ -0,0 +1,84 @@
+//! The daemon: start, reload, stop.
+
+use crate::operator;
+use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use petrelshore_chat as chat;
+use petrelshore_gateway::{Gateway, Spawner};
+use petrelshore_inventory::{Format, read_list};
+use petrelshore_settings::{Problem, Settings, read};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// After the last final answer, for its bytes to reach the client.
+const LAST_BYTES: Duration = Duration::from_millis(200);
+
+fn lines<P: std::fmt::Display>(problems: &[P]) -> String {
+    problems.iter().map(P::to_string).collect::<Vec<_>>().join("\n")
+}
+
+fn settings(file: &Path) -> Result<Settings, String> {
+    read(file).map_err(|problems: Vec<Problem>| lines(&problems))
+}
+
+/// Checks settings and inventory without starting anything.
+pub fn check(file: &Path) -> Result<(), String> {
+    let settings = settings(file)?;
+    let inventory = &settings.inventory;
+    let format =
+        Format::of(inventory).ok_or_else(|| format!("{}: is neither .csv nor .yaml", inventory.display()))?;
+    let text =
+        std::fs::read_to_string(inventory).map_err(|error| format!("{}: {error}", inventory.display()))?;
+    let list = read_list(inventory, format, &text, &settings.kinds).map_err(|problems| lines(&problems))?;
+    println!(
+        "{}: good; {} traffic types, {} tenants, {} model servers in {}",
+        file.display(),
+        settings.traffic.len(),
+        settings.tenants.len(),
+        list.servers.len(),
+        inventory.display()
+    );
+    Ok(())
+}
+
+/// Serves until a signal to stop, and ends what runs within the drain time.
+pub fn serve(file: &Path) -> Result<(), String> {
+    let settings = settings(file)?;
+    let executor = Rc::new(LocalExecutor::new());
+    future::block_on(executor.run(run(settings, &executor)))
+}
+
+async fn run(settings: Settings, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    // Signals are caught before the ready line: whoever waits for that line may send one at once.
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let listening = chat::bind(settings.chat).await.map_err(|error| format!("{}: {error}", settings.chat))?;
+    let (name, chat, operator) = (settings.name.clone(), listening.address, settings.operator);
+    let gateway = Gateway::start(settings, Spawner::new(executor)).map_err(|error| error.to_string())?;
+    if let Some(operator) = operator {
+        let listener = async_net::TcpListener::bind(operator).await;
+        let listener = listener.map_err(|error| format!("{operator}: {error}"))?;
+        executor.spawn(operator::serve(listener, gateway.clone())).detach();
+    }
+    let front = executor.spawn(chat::serve(listening, gateway.clone()));
+    println!("petrelshore {name} ready: chat on {chat}, {} model servers", gateway.servers());
+    while let Some(Ok(signal)) = signals.next().await {
+        if signal != Signal::Hup {
+            break;
+        }
+        match gateway.reload() {
+            Ok(servers) => info!(servers, "reloaded the inventory"),
+            Err(error) => warn!(%error, "the inventory is not good: staying with the last good list"),
+        }
+    }
+    info!(in_hand = gateway.in_hand(), "stopping: running streams go on within the drain time");
+    // New connections are still answered, with a time to come back, until the last stream has ended.
+    let ended = gateway.drain().await;
+    async_io::Timer::after(LAST_BYTES).await;
+    drop(front);
+    info!(ended, counts = ?gateway.counts(), "stopped");
+    Ok(())
+}
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -45,6 +45,8 @@
     pub reader: Option<ServerId>,
     /// Time to the end of a read or to the first token.
     pub limit: Nanos,
+    /// Time for its connection, where it needs a new one.
+    pub connect_within: Nanos,
     /// Send on a new connection: a pooled one that closes under it would leave once-only work unproven.
     pub fresh: bool,
 }
@@ -75,6 +77,7 @@
         id: SeqId,
         attempt: usize,
         server: ServerId,
+        step: Step,
     },
     /// Let go of every state held for it that no attempt waits on.
     Release {
@@ -253,7 +256,7 @@
         if let Some(attempt) = held.seq.attempts.len().checked_sub(1) {
             let last = &held.seq.attempts[attempt];
             if !matches!(last.status, Status::Closed(_)) {
-                out.push(Action::Cancel { id, attempt, server: last.server });
+                out.push(Action::Cancel { id, attempt, server: last.server, step: last.step });
             }
         }
         out.push(Action::Release { id });
@@ -311,9 +314,15 @@
         }
     }
 
+    /// Whether anything of a sequence is left: its answer owed, or an attempt out.
+    pub fn holds(&self, id: SeqId) -> bool {
+        self.held.contains_key(&id)
+    }
+
     /// Sequences in hand that still wait for their final answer.
     pub fn in_hand(&self) -> usize {
-        self.held.values().filter(|held| !held.seq.ended).count()
+        let Counts { taken, generated, rejected, aborted, withdrawn, .. } = self.counts;
+        (taken - generated - rejected - aborted - withdrawn) as usize
     }
 
     pub fn counts(&self) -> Counts {
@@ -401,7 +410,7 @@
         let Some(attempt) = held.seq.attempts.len().checked_sub(1) else {
             return self.schedule(now, id, Reason::NoRoom, out);
         };
-        let (server, status) = (held.seq.attempts[attempt].server, held.seq.attempts[attempt].status);
+        let Attempt { server, step, status, .. } = held.seq.attempts[attempt];
         let reason = match status {
             Status::Closed(_) => return self.schedule(now, id, Reason::Failed, out),
             Status::Out => Reason::OutOfTime,
@@ -413,7 +422,7 @@
             }
         };
         self.counts.timed_out += 1;
-        out.push(Action::Cancel { id, attempt, server });
+        out.push(Action::Cancel { id, attempt, server, step });
         let began = status == Status::Streaming;
         // A stalled client is no word against its writer.
         let ending = if reason == Reason::Stalled { Ending::Cancelled } else { Ending::TimedOut };
@@ -427,8 +436,8 @@
         held.seq.abandon_at = now;
         let running = held.seq.attempts.iter().rposition(|a| !matches!(a.status, Status::Closed(_)));
         let Some(attempt) = running else { return self.schedule(now, id, reason, out) };
-        let (server, status) = (held.seq.attempts[attempt].server, held.seq.attempts[attempt].status);
-        out.push(Action::Cancel { id, attempt, server });
+        let Attempt { server, step, status, .. } = held.seq.attempts[attempt];
+        out.push(Action::Cancel { id, attempt, server, step });
         let last = status == Status::Streaming && held.relay == Relay::Streamed;
         match self.brain.settle(now, &mut held.seq, attempt, Outcome::Cancelled, last) {
             Settled::Ended { .. } => {
@@ -496,6 +505,7 @@
         step,
         reader: seq.state.map(|(reader, _)| reader).filter(|_| writes),
         limit,
+        connect_within: pace::connect_within(limit),
         fresh: step != Step::Read && types[seq.traffic.0].effect == Effect::OnceOnly,
     })
 }
--- a/conductor/src/pace.rs
+++ b/conductor/src/pace.rs
@@ -20,6 +20,11 @@
 /// The least that a whole answer may take after its first token.
 const WHOLE_LEAST: Nanos = 10 * SECOND;
 
+/// Part of an attempt's time that may go to its connection, within these bounds.
+const CONNECT_PART: u64 = 2;
+const CONNECT_LEAST: Nanos = 50 * MILLISECOND;
+const CONNECT_MOST: Nanos = SECOND;
+
 /// When a sequence with no token yet is given up, for a client that waits for `budget` from `arrived`.
 pub fn give_up_at(arrived: Nanos, budget: Nanos) -> Nanos {
     arrived.saturating_add(budget - ANSWER_BEFORE.min(budget / ANSWER_PART))
@@ -40,3 +45,9 @@
 pub fn stalled_for() -> Nanos {
     STALLED
 }
+
+/// How long a connection may take to be made, of an attempt's time. A connection that is not made in time proves
+/// that nothing ran, which an attempt's own time-out does not; a whole lost attempt would tell less, later.
+pub fn connect_within(limit: Nanos) -> Nanos {
+    (limit / CONNECT_PART).clamp(CONNECT_LEAST.min(limit), CONNECT_MOST)
+}
--- /dev/null
+++ b/engine/src/exchange.rs
@@ -0,0 +1,398 @@
+//! One exchange with a model server: a read, a write, or letting go of a state.
+
+use crate::orca::{self, Load};
+use crate::pool::{Pool, Sender};
+use crate::spawner::Spawner;
+use crate::sse::Events;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use petrelshore_conductor::proof::Ending;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const COMPLETIONS: &str = "/v1/completions";
+const RELEASE: &str = "/v1/kv/release";
+/// Largest whole answer of a reader, and largest error body: both hold a few fields.
+const ANSWER: usize = 256 << 10;
+/// Letting go of a state is tried so often, each time within this.
+const RELEASE_TRIES: usize = 3;
+/// After its closing mark an answer's body must end within this for its connection to serve again.
+const BODY_END: Duration = Duration::from_millis(500);
+const RELEASE_WITHIN: Duration = Duration::from_millis(150);
+
+/// What every exchange needs.
+#[derive(Clone, Debug)]
+pub struct WriteRequest {
+    pub to: SocketAddr,
+    pub request_id: String,
+    pub model: Rc<str>,
+    pub prompt: Rc<str>,
+    pub max_tokens: u32,
+    pub stop: Rc<[String]>,
+    /// Further sampling fields, as the client gave them.
+    pub sampling: Rc<serde_json::Map<String, serde_json::Value>>,
+    /// Marks repeats of tokened work.
+    pub idempotency_key: Option<Rc<str>>,
+    /// What the reader gave for the state that is to be fetched.
+    pub state: Option<Rc<RawValue>>,
+    /// Never on a connection that was used before.
+    pub fresh: bool,
+    pub connect_within: Duration,
+}
+
+/// A read state that waits at its reader.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub params: Rc<RawValue>,
+    pub kept_tokens: f64,
+}
+
+/// What an exchange told, with the load that came along.
+#[derive(Debug)]
+pub struct Heard<T> {
+    pub result: Result<T, Ending>,
+    pub load: Option<Load>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct Usage {
+    pub prompt_tokens: u64,
+    pub completion_tokens: u64,
+}
+
+/// Part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Piece {
+    Text(String),
+    /// Why the answer ended, in the API's word.
+    Finish(String),
+    Usage(Usage),
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stream_options: Option<StreamOptions>,
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    stop: &'a [String],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    kv_transfer_params: Option<&'a RawValue>,
+    #[serde(flatten)]
+    sampling: &'a serde_json::Map<String, serde_json::Value>,
+}
+
+#[derive(Serialize)]
+struct StreamOptions {
+    include_usage: bool,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    kv_transfer_params: Box<RawValue>,
+    usage: ReadUsage,
+}
+
+#[derive(Deserialize)]
+struct ReadUsage {
+    prompt_tokens_details: Option<ReadDetails>,
+}
+
+#[derive(Deserialize)]
+struct ReadDetails {
+    cached_tokens: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+    error: Option<serde::de::IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ErrorAnswer {
+    error: ErrorBody,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    code: Option<serde_json::Value>,
+}
+
+pub struct Client {
+    pool: Rc<Pool>,
+}
+
+impl Client {
+    pub fn new(spawner: Spawner) -> Self {
+        Client { pool: Rc::new(Pool::new(spawner)) }
+    }
+
+    /// Has a prompt read; its state then waits at the reader.
+    pub async fn read(&self, request: &WriteRequest) -> Heard<Held> {
+        let asked = RawValue::from_string(
+            r#"{"do_remote_decode":true,"do_remote_prefill":false,"remote_engine_id":null,"remote_block_ids":null,"remote_host":null,"remote_port":null}"#
+                .to_owned(),
+        );
+        let body = Completion {
+            model: &request.model,
+            prompt: &request.prompt,
+            max_tokens: 1,
+            stream: false,
+            stream_options: None,
+            stop: &[],
+            kv_transfer_params: asked.as_deref().ok(),
+            sampling: &serde_json::Map::new(),
+        };
+        let (response, sender) = match self.ask(request, &body).await {
+            Ok(answered) => answered,
+            Err(ending) => return Heard { result: Err(ending), load: None },
+        };
+        let load = load_of(&response);
+        let result = async {
+            let (status, bytes) = whole(response).await?;
+            if status != StatusCode::OK {
+                return Err(refusal(status, &bytes));
+            }
+            self.pool.keep(request.to, sender);
+            let answer: ReadAnswer = serde_json::from_slice(&bytes).map_err(|_| Ending::Malformed)?;
+            let kept = answer.usage.prompt_tokens_details.and_then(|details| details.cached_tokens);
+            let kept_tokens = kept.unwrap_or(0) as f64;
+            Ok(Held { params: Rc::from(answer.kv_transfer_params), kept_tokens })
+        };
+        Heard { result: result.await, load }
+    }
+
+    /// Has an answer written, from a held state or from the prompt itself.
+    pub async fn write(&self, request: &WriteRequest) -> Heard<Writing> {
+        let body = Completion {
+            model: &request.model,
+            prompt: &request.prompt,
+            max_tokens: request.max_tokens,
+            stream: true,
+            stream_options: Some(StreamOptions { include_usage: true }),
+            stop: &request.stop,
+            kv_transfer_params: request.state.as_deref(),
+            sampling: &request.sampling,
+        };
+        let (response, sender) = match self.ask(request, &body).await {
+            Ok(answered) => answered,
+            Err(ending) => return Heard { result: Err(ending), load: None },
+        };
+        let load = load_of(&response);
+        if response.status() != StatusCode::OK {
+            let refused = whole(response).await.map(|(status, bytes)| refusal(status, &bytes));
+            return Heard { result: Err(refused.unwrap_or_else(|ending| ending)), load };
+        }
+        let writing = Writing {
+            to: request.to,
+            pool: self.pool.clone(),
+            sender: Some(sender),
+            body: response.into_body(),
+            events: Events::default(),
+            ready: VecDeque::new(),
+            finished: false,
+        };
+        Heard { result: Ok(writing), load }
+    }
+
+    /// Tells a reader to let go of what it holds for a request. Tried a few times: a state that stays behind
+    /// fills the reader's memory. True once the reader has answered.
+    pub async fn release(&self, to: SocketAddr, request_id: &str) -> bool {
+        let body = serde_json::json!({ "request_id": request_id }).to_string();
+        for _ in 0..RELEASE_TRIES {
+            let once = async {
+                let sender = match self.pool.pooled(to) {
+                    Some(sender) => sender,
+                    None => self.pool.connect(to, RELEASE_WITHIN).await?,
+                };
+                let request = post(to, RELEASE, request_id, None, Bytes::from(body.clone()))?;
+                let (response, sender) = send(sender, request).await.map_err(|_| Ending::Reset)?;
+                whole(response).await?;
+                self.pool.keep(to, sender);
+                Ok::<(), Ending>(())
+            };
+            let late = async {
+                async_io::Timer::after(RELEASE_WITHIN).await;
+                Err(Ending::TimedOut)
+            };
+            match futures_lite::future::or(once, late).await {
+                Ok(()) => return true,
+                Err(Ending::NotConnected) => return false, // nothing listens: nothing is held
+                Err(_) => {}
+            }
+        }
+        false
+    }
+
+    /// Drops connections to servers that are no longer listed.
+    pub fn keep_only(&self, listed: impl Fn(&SocketAddr) -> bool) {
+        self.pool.keep_only(listed);
+    }
+
+    /// Sends one request. On a pooled connection that hands it back unwritten, a new one carries it.
+    async fn ask(
+        &self,
+        request: &WriteRequest,
+        body: &Completion<'_>,
+    ) -> Result<(Response<Incoming>, Sender), Ending> {
+        let body = Bytes::from(serde_json::to_vec(body).map_err(|_| Ending::HandedBack)?);
+        let key = request.idempotency_key.as_deref();
+        let mut message = post(request.to, COMPLETIONS, &request.request_id, key, body)?;
+        let pooled = if request.fresh { None } else { self.pool.pooled(request.to) };
+        if let Some(sender) = pooled {
+            match send(sender, message).await {
+                Ok(answered) => return Ok(answered),
+                Err(Some(unwritten)) => message = unwritten,
+                Err(None) => return Err(Ending::Reset),
+            }
+        }
+        let sender = self.pool.connect(request.to, request.connect_within).await?;
+        let unsent = |back: Option<_>| if back.is_some() { Ending::HandedBack } else { Ending::Reset };
+        send(sender, message).await.map_err(unsent)
+    }
+}
+
+type Message = Request<Full<Bytes>>;
+
+fn post(to: SocketAddr, path: &str, id: &str, key: Option<&str>, body: Bytes) -> Result<Message, Ending> {
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header("host", to.to_string())
+        .header("content-type", "application/json")
+        .header("endpoint-load-metrics-format", "TEXT")
+        .header("x-request-id", id);
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key);
+    }
+    request.body(Full::new(body)).map_err(|_| Ending::HandedBack)
+}
+
+/// The request comes back where it provably never went out.
+async fn send(mut sender: Sender, message: Message) -> Result<(Response<Incoming>, Sender), Option<Message>> {
+    match sender.try_send_request(message).await {
+        Ok(response) => Ok((response, sender)),
+        Err(mut error) => Err(error.take_message()),
+    }
+}
+
+fn load_of(response: &Response<Incoming>) -> Option<Load> {
+    let header = response.headers().get("endpoint-load-metrics")?;
+    Some(orca::parse(header.to_str().ok()?))
+}
+
+async fn whole(response: Response<Incoming>) -> Result<(StatusCode, Bytes), Ending> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER).collect().await;
+    let body = body.map_err(|error| match error.downcast_ref::<http_body_util::LengthLimitError>() {
+        Some(_) => Ending::Malformed,
+        None => Ending::Reset,
+    })?;
+    Ok((status, body.to_bytes()))
+}
+
+/// A refusal proves something only by both its status and its code, so that a proxy's bare 503 proves nothing.
+fn refusal(status: StatusCode, body: &[u8]) -> Ending {
+    let code = serde_json::from_slice::<ErrorAnswer>(body).ok().and_then(|answer| answer.error.code);
+    match (status, code.as_ref().and_then(serde_json::Value::as_str)) {
+        (StatusCode::SERVICE_UNAVAILABLE, Some("full")) => Ending::RefusedFull,
+        (StatusCode::CONFLICT, Some("state_missing")) => Ending::StateMissing,
+        _ => Ending::Refused { status: status.as_u16() },
+    }
+}
+
+/// An answer that is being written.
+pub struct Writing {
+    to: SocketAddr,
+    pool: Rc<Pool>,
+    sender: Option<Sender>,
+    body: Incoming,
+    events: Events,
+    ready: VecDeque<Piece>,
+    finished: bool,
+}
+
+impl Writing {
+    /// The next piece; none once the answer is whole.
+    pub async fn next(&mut self) -> Result<Option<Piece>, Ending> {
+        loop {
+            if let Some(piece) = self.ready.pop_front() {
+                return Ok(Some(piece));
+            }
+            while let Some(data) = self.events.next_event().map_err(|_| Ending::Malformed)? {
+                if data == "[DONE]" {
+                    return if self.finished { Ok(None) } else { Err(Ending::Malformed) };
+                }
+                self.decode(&data)?;
+                if !self.ready.is_empty() {
+                    break;
+                }
+            }
+            if !self.ready.is_empty() {
+                continue;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    self.events.feed(&bytes).map_err(|_| Ending::Malformed)?;
+                }
+                Some(Err(_)) => return Err(Ending::Reset),
+                None => return Err(Ending::Malformed),
+            }
+        }
+    }
+
+    fn decode(&mut self, data: &str) -> Result<(), Ending> {
+        let chunk: Chunk = serde_json::from_str(data).map_err(|_| Ending::Malformed)?;
+        if chunk.error.is_some() {
+            return Err(Ending::Refused { status: 500 });
+        }
+        for choice in chunk.choices {
+            if !choice.text.is_empty() {
+                self.ready.push_back(Piece::Text(choice.text));
+            }
+            if let Some(reason) = choice.finish_reason {
+                self.finished = true;
+                self.ready.push_back(Piece::Finish(reason));
+            }
+        }
+        self.ready.extend(chunk.usage.map(Piece::Usage));
+        Ok(())
+    }
+
+    /// Gives the connection of a whole answer back. Its body's end may still be on the way; whoever waits for the
+    /// answer does not wait for that.
+    pub fn done(mut self) {
+        let Some(sender) = self.sender.take() else { return };
+        let (pool, to, mut body) = (self.pool.clone(), self.to, self.body);
+        let settled = async move {
+            let ended = async { body.frame().await.is_none() };
+            let late = async {
+                async_io::Timer::after(BODY_END).await;
+                false
+            };
+            if futures_lite::future::or(ended, late).await {
+                pool.keep(to, sender);
+            }
+        };
+        self.pool.spawn(settled);
+    }
+}
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -1,1 +1,17 @@
-//! Speaks to model servers: completions, hand-over of state, load, release.
+//! Speaks to model servers as prefill/decode engines publish it: OpenAI-style completions with
+//! `kv_transfer_params` handed from the reader to the writer, load in `endpoint-load-metrics` headers.
+//!
+//! [`Client::read`] and [`Client::write`] make one exchange each and say how it ended; what an ending proves is
+//! decided in the conductor. Dropping either future, or a [`Writing`], breaks the exchange off by closing its
+//! connection. `docs/engine.md` says what of the wire is published and what was added.
+
+mod exchange;
+mod orca;
+mod pool;
+mod spawner;
+mod sse;
+
+pub use exchange::{Client, Heard, Held, Piece, Usage, WriteRequest, Writing};
+pub use orca::{Load, parse as parse_load};
+pub use spawner::Spawner;
+pub use sse::{Events, Oversized};
--- /dev/null
+++ b/engine/src/sse.rs
@@ -0,0 +1,99 @@
+//! Server-sent events out of a byte stream, in bounded memory.
+
+/// An event larger than this is no token.
+const LARGEST: usize = 256 << 10;
+
+/// Splits bytes into the data of events. Fed as bytes come, in pieces of any size.
+#[derive(Debug, Default)]
+pub struct Events {
+    buffer: Vec<u8>,
+    /// Where the next line starts in `buffer`.
+    at: usize,
+    /// Up to where `buffer` holds no line end.
+    searched: usize,
+    data: String,
+    any: bool,
+}
+
+/// The server sent an event that is larger than any token, or one that is not UTF-8.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Oversized;
+
+impl Events {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<(), Oversized> {
+        if self.at > 0 {
+            self.buffer.drain(..self.at);
+            self.searched -= self.at;
+            self.at = 0;
+        }
+        if self.buffer.len() + bytes.len() > 2 * LARGEST {
+            return Err(Oversized);
+        }
+        self.buffer.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The data of the next whole event.
+    pub fn next_event(&mut self) -> Result<Option<String>, Oversized> {
+        while let Some(length) = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let end = self.searched + length;
+            let line = &self.buffer[self.at..end];
+            let line =
+                std::str::from_utf8(line.strip_suffix(b"\r").unwrap_or(line)).map_err(|_| Oversized)?;
+            if line.is_empty() {
+                if self.any {
+                    (self.at, self.searched, self.any) = (end + 1, end + 1, false);
+                    return Ok(Some(std::mem::take(&mut self.data)));
+                }
+            } else if let Some(data) = line.strip_prefix("data:") {
+                if self.any {
+                    self.data.push('\n');
+                }
+                self.data.push_str(data.strip_prefix(' ').unwrap_or(data));
+                self.any = true;
+            }
+            if self.data.len() > LARGEST {
+                return Err(Oversized);
+            }
+            (self.at, self.searched) = (end + 1, end + 1);
+        }
+        self.searched = self.buffer.len();
+        if self.buffer.len() - self.at > LARGEST { Err(Oversized) } else { Ok(None) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(bytes: &[u8], piece: usize) -> Vec<String> {
+        let mut events = Events::default();
+        let mut found = Vec::new();
+        for part in bytes.chunks(piece) {
+            events.feed(part).unwrap();
+            while let Some(event) = events.next_event().unwrap() {
+                found.push(event);
+            }
+        }
+        found
+    }
+
+    #[test]
+    fn pieces_of_any_size_give_the_same_events() {
+        let text = b": hello\r\ndata: {\"a\":1}\r\n\r\nevent: x\ndata: two\ndata:lines\n\n\n\ndata: [DONE]\n\ndata: cut";
+        for piece in 1..text.len() {
+            assert_eq!(all(text, piece), ["{\"a\":1}", "two\nlines", "[DONE]"], "in pieces of {piece}");
+        }
+    }
+
+    #[test]
+    fn endless_lines_and_bad_text_are_refused_in_bounded_memory() {
+        let mut events = Events::default();
+        let endless =
+            std::iter::repeat_with(|| events.feed(&[b'x'; 4096]).and_then(|()| events.next_event()));
+        assert!(endless.take(200).any(|fed| fed == Err(Oversized)));
+        let mut events = Events::default();
+        events.feed(b"data: \xff\n\n").unwrap();
+        assert_eq!(events.next_event(), Err(Oversized));
+    }
+}
--- /dev/null
+++ b/gateway/src/clock.rs
@@ -0,0 +1,26 @@
+//! The gateway's clock: nanoseconds of the Unix epoch at the start, monotonic from there on.
+
+use petrelshore::interface::Nanos;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Steps of the system's clock while the gateway runs do not move it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    epoch: Nanos,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Clock { started: Instant::now(), epoch: epoch.as_nanos() as Nanos }
+    }
+
+    pub fn now(&self) -> Nanos {
+        self.epoch + self.started.elapsed().as_nanos() as Nanos
+    }
+
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.started + Duration::from_nanos(at.saturating_sub(self.epoch))
+    }
+}
--- a/inventory/src/formats.rs
+++ b/inventory/src/formats.rs
@@ -202,12 +202,12 @@
 
 fn yaml_entries(file: &Path, text: &str) -> Result<Vec<Entry>, Problem> {
     let parsed: YamlFile = serde_saphyr::from_str(text).map_err(|error| {
-        let line = error.location().map(|location| location.line() as u64);
+        let line = error.location().map(|location| location.line());
         let what = error.to_string();
         problem(file, line, None, what.lines().next().unwrap_or("is not YAML"))
     })?;
     let entry = |server: Spanned<YamlServer>| {
-        let line = server.referenced.line() as u64;
+        let line = server.referenced.line();
         let YamlServer { name, address, kind, cell, zone, weight, state } = server.value;
         let weight = weight.map(|weight| weight.to_string());
         let values = [name, address, kind, cell, zone, weight, state];
--- a/inventory/src/kept.rs
+++ b/inventory/src/kept.rs
@@ -11,6 +11,9 @@
 use std::io::Write;
 use std::path::Path;
 
+/// When each server is known to have started.
+pub type Starts = BTreeMap<ServerId, Nanos>;
+
 #[derive(serde::Serialize, serde::Deserialize)]
 struct Kept {
     version: u32,
@@ -20,7 +23,7 @@
 
 const VERSION: u32 = 1;
 
-pub fn encode(list: &List, since: &BTreeMap<ServerId, Nanos>) -> Result<String, String> {
+pub fn encode(list: &List, since: &Starts) -> Result<String, String> {
     let since = since.iter().map(|(id, at)| (id.0, *at)).collect();
     let kept = Kept { version: VERSION, list: list.clone(), since };
     let text = serde_json::to_string(&kept).map_err(|error| error.to_string())?;
@@ -28,7 +31,7 @@
     Ok(format!("{text}\n{mark:016x}\n"))
 }
 
-pub fn decode(text: &str) -> Result<(List, BTreeMap<ServerId, Nanos>), String> {
+pub fn decode(text: &str) -> Result<(List, Starts), String> {
     let (body, mark) = text.split_once('\n').ok_or("it is cut short")?;
     let mark = u64::from_str_radix(mark.trim_end(), 16).map_err(|_| "its checksum is malformed")?;
     if mark != stable_id(body) {
@@ -42,7 +45,7 @@
 }
 
 /// Puts the list where a later run finds it, durable before it replaces the old one.
-pub fn store(file: &Path, list: &List, since: &BTreeMap<ServerId, Nanos>) -> std::io::Result<()> {
+pub fn store(file: &Path, list: &List, since: &Starts) -> std::io::Result<()> {
     let text = encode(list, since).map_err(std::io::Error::other)?;
     let mut beside = file.as_os_str().to_owned();
     beside.push(".new");
@@ -55,7 +58,7 @@
 }
 
 /// The list of an earlier run; none where there was no run.
-pub fn load(file: &Path) -> Result<Option<(List, BTreeMap<ServerId, Nanos>)>, String> {
+pub fn load(file: &Path) -> Result<Option<(List, Starts)>, String> {
     match std::fs::read_to_string(file) {
         Ok(text) => decode(&text).map(Some).map_err(|what| format!("{}: {what}", file.display())),
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
--- /dev/null
+++ b/rehearsal/src/fleet.rs
@@ -0,0 +1,203 @@
+//! A fleet of stand-ins with a gateway before it, in one process.
+
+use async_executor::{LocalExecutor, Task};
+use petrelshore_chat as chat;
+use petrelshore_gateway::{Gateway, Spawner};
+use petrelshore_settings::read_text;
+use petrelshore_stand_in::model::{Build, Role};
+use petrelshore_stand_in::record::{Passed, Record};
+use petrelshore_stand_in::server::{StandIn, usual_build};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// One box of a fleet, running or not.
+pub struct Place {
+    pub name: String,
+    pub kind: String,
+    pub cell: String,
+    pub zone: String,
+    pub build: Build,
+    pub address: SocketAddr,
+    pub draining: bool,
+    pub listed: bool,
+    pub stand_in: Option<StandIn>,
+}
+
+/// Stand-ins, and the inventory file that lists them.
+pub struct Fleet {
+    pub executor: Executor,
+    pub record: Record,
+    pub folder: PathBuf,
+    pub places: Vec<Place>,
+}
+
+/// What a fleet is made of: so many of a kind in each cell.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Shape {
+    pub cells: usize,
+    pub readers: usize,
+    pub writers: usize,
+    pub mixed: usize,
+}
+
+impl Fleet {
+    /// Starts a fleet, its boxes warm.
+    pub async fn start(
+        executor: Executor,
+        folder: &Path,
+        shape: &Shape,
+        build: impl Fn(Role) -> Build,
+    ) -> std::io::Result<Fleet> {
+        std::fs::create_dir_all(folder)?;
+        let record = Record::default();
+        let mut places = Vec::new();
+        for cell in 1..=shape.cells {
+            let kinds =
+                [(Role::Reader, shape.readers), (Role::Writer, shape.writers), (Role::Mixed, shape.mixed)];
+            for (role, count) in kinds {
+                let kind = format!("{role:?}").to_lowercase();
+                for number in 1..=count {
+                    let name = format!("{kind}-{cell}-{number}");
+                    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                    let stand_in = StandIn::start(&executor, &record, &name, build(role), any, false).await?;
+                    places.push(Place {
+                        address: stand_in.address,
+                        stand_in: Some(stand_in),
+                        build: build(role),
+                        cell: format!("cell-{cell}"),
+                        zone: "here".to_owned(),
+                        kind: kind.clone(),
+                        draining: false,
+                        listed: true,
+                        name,
+                    });
+                }
+            }
+        }
+        let fleet = Fleet { executor, record, folder: folder.to_owned(), places };
+        fleet.write_inventory()?;
+        Ok(fleet)
+    }
+
+    /// Writes the inventory as it now is, and notes for the auditor what the gateways are told by it.
+    pub fn write_inventory(&self) -> std::io::Result<()> {
+        let mut csv = "name,kind,address,cell,zone,state\n".to_owned();
+        for place in self.places.iter().filter(|place| place.listed) {
+            let state = if place.draining { "draining" } else { "ready" };
+            let Place { name, kind, address, cell, zone, .. } = place;
+            let _ = writeln!(csv, "{name},{kind},{address},{cell},{zone},{state}");
+        }
+        let file = self.folder.join("boxes.csv");
+        let beside = self.folder.join("boxes.csv.new");
+        std::fs::write(&beside, csv)?;
+        std::fs::rename(beside, file)
+    }
+
+    pub fn place(&mut self, name: &str) -> Option<&mut Place> {
+        self.places.iter_mut().find(|place| place.name == name)
+    }
+
+    pub fn stand_in(&self, name: &str) -> Option<&StandIn> {
+        self.places.iter().find(|place| place.name == name)?.stand_in.as_ref()
+    }
+
+    /// Kills a box outright.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(place) = self.place(name) {
+            place.stand_in = None;
+        }
+    }
+
+    /// Starts a killed box again at its address, cold.
+    pub async fn restart(&mut self, name: &str) -> std::io::Result<()> {
+        let (executor, record) = (self.executor.clone(), self.record.clone());
+        let Some(place) = self.place(name) else { return Ok(()) };
+        place.stand_in = None;
+        let (build, address) = (place.build, place.address);
+        place.stand_in = Some(StandIn::start(&executor, &record, name, build, address, true).await?);
+        Ok(())
+    }
+}
+
+/// The settings text for a gateway before such a fleet; `more` may add or override records.
+pub fn settings_text(name: &str, gateways: usize, chat: &str, more: &str) -> String {
+    format!(
+        r#"{{
+  name = "{name}", zone = "here", gateways = {gateways},
+  listen.chat = "{chat}",
+  inventory = {{ file = "boxes.csv", kept = "{name}-last.json" }},
+  kinds = {{
+    reader = {{ role = 'reader, memory_tokens = 200000 }},
+    writer = {{ role = 'writer, memory_tokens = 200000 }},
+    mixed = {{ role = 'mixed, memory_tokens = 200000 }},
+  }},
+  open = true,
+  traffic = {{
+    "rider-query" = {{
+      models = ["rider-query"], utility = 2, latency_slo = "1s", abandon_time = "4s", token_pace = "50ms",
+    }},
+    "workshop-chat" = {{
+      models = ["workshop-chat"], utility = 3, latency_slo = "2s", abandon_time = "10s", token_pace = "70ms",
+    }},
+    "unlock-once" = {{
+      models = ["unlock-once"], utility = 4, latency_slo = "1s", abandon_time = "4s", effect = 'once_only,
+    }},
+    "dock-tokened" = {{
+      models = ["dock-tokened"], utility = 4, latency_slo = "1s", abandon_time = "4s", effect = 'tokened,
+      repeats = {{ scope = 'cell, window = "60s" }},
+    }},
+  }},
+}} & {{ {more} }}"#
+    )
+}
+
+/// A gateway with its chat front on loopback. Dropping it is a kill: its sockets break.
+pub struct Running {
+    pub name: String,
+    pub gateway: Gateway,
+    pub address: SocketAddr,
+    driver: Task<()>,
+}
+
+impl Running {
+    /// Starts a gateway from a settings text, its files in `folder`.
+    pub async fn start(executor: &Executor, folder: &Path, text: &str) -> Result<Running, String> {
+        let said = |problems: Vec<petrelshore_settings::Problem>| {
+            problems.iter().map(|problem| problem.to_string()).collect::<Vec<_>>().join("\n")
+        };
+        let settings = read_text(&folder.join("gateway.ncl"), text).map_err(said)?;
+        // All that it runs is on an executor of its own, so that a kill ends all of it at once.
+        let own: Executor = Rc::new(LocalExecutor::new());
+        let listening = chat::bind(settings.chat).await.map_err(|error| error.to_string())?;
+        let address = listening.address;
+        let name = settings.name.clone();
+        let gateway = Gateway::start(settings, Spawner::new(&own)).map_err(|error| error.to_string())?;
+        let serving = chat::serve(listening, gateway.clone());
+        let driver = executor.spawn(async move { own.run(serving).await });
+        Ok(Running { name, gateway, address, driver })
+    }
+
+    /// Kills it outright: nothing of what it held is answered.
+    pub async fn kill(self, record: &Record) {
+        record.write(Passed::Killed { gateway: self.name.clone() });
+        self.driver.cancel().await;
+    }
+}
+
+/// The fleet and gateway of `petrelshore try`.
+pub async fn try_out(
+    executor: Executor,
+    folder: &Path,
+    listen: SocketAddr,
+) -> Result<(Fleet, Running), String> {
+    let shape = Shape { cells: 2, readers: 2, writers: 2, mixed: 1 };
+    let fleet = Fleet::start(executor.clone(), folder, &shape, usual_build).await;
+    let fleet = fleet.map_err(|error| error.to_string())?;
+    let text = settings_text("try", 1, &listen.to_string(), "");
+    let running = Running::start(&executor, folder, &text).await?;
+    Ok((fleet, running))
+}
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -1,1 +1,5 @@
-//! Scripted rehearsals on loopback: clients, faults and the auditor of the five rules.
+//! Rehearsals on loopback: fleets of stand-ins with gateways before them, clients, faults by script, and the
+//! auditor that judges the five rules from what passed on the sockets.
+
+pub mod client;
+pub mod fleet;
--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -1,1 +1,8 @@
-//! Stand-in model servers: a box model without I/O and a socket shell round it.
+//! Stand-in model servers, written for this project from the published interfaces of serving engines.
+//!
+//! [`model`] is a box without I/O or clock: slots, queue, memory, kept texts, paces, cold start, faults. [`server`]
+//! puts it on a socket and writes down what passed there.
+
+pub mod model;
+pub mod record;
+pub mod server;
--- /dev/null
+++ b/stand-in/src/record.rs
@@ -0,0 +1,118 @@
+//! What passed on the sockets, as the stand-ins and the clients saw it. The auditor judges from this alone.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+pub type Nanos = u64;
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum Passed {
+    /// A client's request went out to a gateway; the client's time ends at `until`.
+    Asked {
+        client: u64,
+        gateway: String,
+        traffic: String,
+        until: Nanos,
+    },
+    /// A client's final answer: the status, whether a retry is said to be harmless, and whether it came whole.
+    Answered {
+        client: u64,
+        answer: FinalSeen,
+        first_token: Option<Nanos>,
+        tokens: u64,
+    },
+    /// Anything after a final answer.
+    AfterFinal {
+        client: u64,
+    },
+    /// A work request was read whole from a socket.
+    Arrived {
+        server: String,
+        request: String,
+        mark: Option<String>,
+        work: String,
+        client: Option<u64>,
+    },
+    /// The box began work that has an effect.
+    Ran {
+        server: String,
+        request: String,
+    },
+    /// A repeat that the box knew by its mark.
+    Dropped {
+        server: String,
+        request: String,
+    },
+    StateHeld {
+        server: String,
+        request: String,
+    },
+    StateGone {
+        server: String,
+        request: String,
+    },
+    /// A box was pushed over while cold.
+    FellOver {
+        server: String,
+    },
+    /// The gateways were told that a server drains or is gone (or is back).
+    Told {
+        server: String,
+        open: bool,
+    },
+    /// A gateway was killed outright: what it held is no longer its duty.
+    Killed {
+        gateway: String,
+    },
+}
+
+/// How a client's request ended, by what it saw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FinalSeen {
+    Generated,
+    Rejected,
+    Aborted,
+    /// The request was refused before it was taken.
+    Refused,
+    /// The connection ended without a final answer.
+    Nothing,
+    /// The client itself left.
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    pub at: Nanos,
+    #[serde(flatten)]
+    pub passed: Passed,
+}
+
+/// A record that all witnesses of one process write to, with one clock.
+#[derive(Clone)]
+pub struct Record {
+    started: Instant,
+    entries: Rc<RefCell<Vec<Entry>>>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Record { started: Instant::now(), entries: Rc::default() }
+    }
+}
+
+impl Record {
+    pub fn now(&self) -> Nanos {
+        self.started.elapsed().as_nanos() as Nanos
+    }
+
+    pub fn write(&self, passed: Passed) {
+        self.entries.borrow_mut().push(Entry { at: self.now(), passed });
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        self.entries.borrow().clone()
+    }
+}
