--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -54,6 +54,14 @@
         #[arg(long, default_value = "127.0.0.1:8080")]
         listen: SocketAddr,
     },
+    /// Play a script of troubles on loopback, and judge the five rules from what passed on the sockets
+    Rehearse {
+        /// The script
+        script: PathBuf,
+        /// Write all that passed there, a JSON line each
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
     /// Run one stand-in model server
     StandIn {
         /// What it does
@@ -89,6 +97,7 @@
         What::Serve { settings } => serve::serve(&settings),
         What::Check { settings } => serve::check(&settings),
         What::Try { listen } => trial::try_out(listen),
+        What::Rehearse { script, record } => trial::rehearse(&script, record.as_deref()),
         What::StandIn { role, listen, name, cold } => trial::stand_in(role, listen, &name, cold),
     };
     match outcome {
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -4,11 +4,14 @@
 use async_signal::{Signal, Signals};
 use clap::ValueEnum;
 use futures_lite::{StreamExt, future};
-use petrelshore_rehearsal::fleet;
+use petrelshore_rehearsal::rehearse::Outcome;
+use petrelshore_rehearsal::{fleet, rehearse, script};
 use petrelshore_stand_in::model::Role;
 use petrelshore_stand_in::record::Record;
 use petrelshore_stand_in::server::{StandIn, usual_build};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -53,10 +56,70 @@
     let executor = Rc::new(LocalExecutor::new());
     let run = async {
         let record = Record::default();
-        let stand_in = StandIn::start(&executor, &record, name, usual_build(role), listen, cold).await;
+        let stand_in = StandIn::start(&executor, &record, (name, ""), usual_build(role), listen, cold).await;
         let stand_in = stand_in.map_err(|error| format!("{listen}: {error}"))?;
         println!("stand-in {name} ready on {}", stand_in.address);
         stopped().await
     };
     future::block_on(executor.run(run))
 }
+
+/// Plays a script and prints its figures. An error where a rule was broken or something was left behind.
+pub fn rehearse(file: &Path, record: Option<&Path>) -> Result<(), String> {
+    let script = script::read(file).map_err(|problem| problem.to_string())?;
+    let folder = std::env::temp_dir().join(format!("petrelshore-rehearse-{}", std::process::id()));
+    let executor = Rc::new(LocalExecutor::new());
+    println!("rehearsing {}: {} s and what follows", script.name, script.lasts_ms / 1e3);
+    let run = rehearse::rehearse(&executor, &folder, &script, "", |line| println!("{line}"));
+    let outcome = future::block_on(executor.run(run));
+    let _ = std::fs::remove_dir_all(&folder);
+    let outcome = outcome?;
+    if let Some(file) = record {
+        write_record(file, &outcome).map_err(|error| format!("{}: {error}", file.display()))?;
+    }
+    print(&outcome);
+    match (outcome.verdict.breaks.len(), outcome.left_in_gateways + outcome.left_in_boxes) {
+        (0, 0) => Ok(()),
+        (0, left) => Err(format!("{left} sequences or states were left behind")),
+        (breaks, _) => Err(format!("rules were broken {breaks} times")),
+    }
+}
+
+fn write_record(file: &Path, outcome: &Outcome) -> std::io::Result<()> {
+    let mut out = std::io::BufWriter::new(std::fs::File::create(file)?);
+    for entry in &outcome.entries {
+        writeln!(out, "{}", serde_json::to_string(entry)?)?;
+    }
+    out.flush()
+}
+
+fn print(outcome: &Outcome) {
+    let verdict = &outcome.verdict;
+    println!("\nservice {:.3} (utility within the latency SLO over utility asked)", outcome.service);
+    for (model, answers) in &outcome.answers {
+        let counts: Vec<String> = answers.iter().map(|(answer, count)| format!("{answer} {count}")).collect();
+        let times = outcome.first_tokens.get(model).map(|times| {
+            let at = |quantile| times.value_at_quantile(quantile) as f64 / 1e3;
+            format!("; first token p50 {:.1} ms, p90 {:.1}, p99 {:.1}", at(0.5), at(0.9), at(0.99))
+        });
+        println!("  {model}: {}{}", counts.join(", "), times.unwrap_or_default());
+    }
+    println!(
+        "judged from sockets: {} requests, {} arrivals at servers, {} held states, {} words to stop",
+        verdict.asked, verdict.arrivals, verdict.states, verdict.told_closed
+    );
+    println!(
+        "left at the end: {} in gateways, {} states in boxes",
+        outcome.left_in_gateways, outcome.left_in_boxes
+    );
+    for rule in 1..=5 {
+        let breaks: Vec<_> = verdict.breaks.iter().filter(|found| found.rule == rule).collect();
+        println!(
+            "rule {rule}: {}",
+            if breaks.is_empty() { "kept".to_owned() } else { format!("BROKEN {} times", breaks.len()) }
+        );
+        for found in breaks.iter().take(5) {
+            println!("  {:.3} s: {}", found.at as f64 / 1e9, found.what);
+        }
+    }
+}
--- a/engine/src/exchange.rs
+++ b/engine/src/exchange.rs
@@ -138,11 +138,13 @@
 
 pub struct Client {
     pool: Rc<Pool>,
+    /// How this gateway names itself to model servers.
+    agent: String,
 }
 
 impl Client {
-    pub fn new(spawner: Spawner) -> Self {
-        Client { pool: Rc::new(Pool::new(spawner)) }
+    pub fn new(spawner: Spawner, name: &str) -> Self {
+        Client { pool: Rc::new(Pool::new(spawner)), agent: format!("petrelshore/{name}") }
     }
 
     /// Has a prompt read; its state then waits at the reader.
@@ -223,7 +225,7 @@
                     Some(sender) => sender,
                     None => self.pool.connect(to, RELEASE_WITHIN).await?,
                 };
-                let request = post(to, RELEASE, request_id, None, Bytes::from(body.clone()))?;
+                let request = self.post(to, RELEASE, request_id, None, Bytes::from(body.clone()))?;
                 let (response, sender) = send(sender, request).await.map_err(|_| Ending::Reset)?;
                 whole(response).await?;
                 self.pool.keep(to, sender);
@@ -255,7 +257,7 @@
     ) -> Result<(Response<Incoming>, Sender), Ending> {
         let body = Bytes::from(serde_json::to_vec(body).map_err(|_| Ending::HandedBack)?);
         let key = request.idempotency_key.as_deref();
-        let mut message = post(request.to, COMPLETIONS, &request.request_id, key, body)?;
+        let mut message = self.post(request.to, COMPLETIONS, &request.request_id, key, body)?;
         let pooled = if request.fresh { None } else { self.pool.pooled(request.to) };
         if let Some(sender) = pooled {
             match send(sender, message).await {
@@ -268,24 +270,32 @@
         let unsent = |back: Option<_>| if back.is_some() { Ending::HandedBack } else { Ending::Reset };
         send(sender, message).await.map_err(unsent)
     }
-}
-
-type Message = Request<Full<Bytes>>;
 
-fn post(to: SocketAddr, path: &str, id: &str, key: Option<&str>, body: Bytes) -> Result<Message, Ending> {
-    let mut request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header("host", to.to_string())
-        .header("content-type", "application/json")
-        .header("endpoint-load-metrics-format", "TEXT")
-        .header("x-request-id", id);
-    if let Some(key) = key {
-        request = request.header("idempotency-key", key);
+    fn post(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+        body: Bytes,
+    ) -> Result<Message, Ending> {
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header("host", to.to_string())
+            .header("content-type", "application/json")
+            .header("endpoint-load-metrics-format", "TEXT")
+            .header("x-request-id", id)
+            .header("user-agent", &self.agent);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        request.body(Full::new(body)).map_err(|_| Ending::HandedBack)
     }
-    request.body(Full::new(body)).map_err(|_| Ending::HandedBack)
 }
 
+type Message = Request<Full<Bytes>>;
+
 /// The request comes back where it provably never went out.
 async fn send(mut sender: Sender, message: Message) -> Result<(Response<Incoming>, Sender), Option<Message>> {
     match sender.try_send_request(message).await {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -95,7 +95,7 @@
         let seed = settings.seed(now);
         let membership = Membership::new(&settings.kinds, &settings.zone);
         let inner = Inner {
-            client: Client::new(spawner.clone()),
+            client: Client::new(spawner.clone(), &settings.name),
             conductor: RefCell::new(Conductor::new(now, settings.deployment.clone(), seed)),
             membership: RefCell::new(membership),
             addresses: RefCell::default(),
--- a/rehearsal/src/fleet.rs
+++ b/rehearsal/src/fleet.rs
@@ -63,12 +63,15 @@
                 for number in 1..=count {
                     let name = format!("{kind}-{cell}-{number}");
                     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-                    let stand_in = StandIn::start(&executor, &record, &name, build(role), any, false).await?;
+                    let cell = format!("cell-{cell}");
+                    let box_of = (name.as_str(), cell.as_str());
+                    let stand_in =
+                        StandIn::start(&executor, &record, box_of, build(role), any, false).await?;
                     places.push(Place {
                         address: stand_in.address,
                         stand_in: Some(stand_in),
                         build: build(role),
-                        cell: format!("cell-{cell}"),
+                        cell,
                         zone: "here".to_owned(),
                         kind: kind.clone(),
                         draining: false,
@@ -117,8 +120,8 @@
         let (executor, record) = (self.executor.clone(), self.record.clone());
         let Some(place) = self.place(name) else { return Ok(()) };
         place.stand_in = None;
-        let (build, address) = (place.build, place.address);
-        place.stand_in = Some(StandIn::start(&executor, &record, name, build, address, true).await?);
+        let (build, address, cell) = (place.build, place.address, place.cell.clone());
+        place.stand_in = Some(StandIn::start(&executor, &record, (name, &cell), build, address, true).await?);
         Ok(())
     }
 }
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -1,5 +1,8 @@
 //! Rehearsals on loopback: fleets of stand-ins with gateways before them, clients, faults by script, and the
 //! auditor that judges the five rules from what passed on the sockets.
 
+pub mod auditor;
 pub mod client;
 pub mod fleet;
+pub mod rehearse;
+pub mod script;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,7 +7,7 @@
 
 use petrelshore::interface::*;
 use petrelshore_conductor::intake::stable_id;
-pub use records::{Problem, read, read_text};
+pub use records::{Problem, evaluate, read, read_text};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -150,29 +150,37 @@
 
 /// Reads settings from a text, as if it stood in `file`.
 pub fn read_text(file: &Path, text: &str) -> Result<Settings, Vec<Problem>> {
-    // On one line with the text's own first, so that reports tell the text's own lines.
-    let schema: Vec<&str> = SCHEMA.lines().filter(|line| !line.starts_with('#')).collect();
-    let main = format!("let schema = {} in ({text}\n) | schema.Gateway", schema.join(" "));
-    decode(file, evaluate(file, main)?)
+    let record = evaluate(file, text, SCHEMA, "Gateway").map_err(|problem| vec![problem])?;
+    decode(file, record)
 }
 
-/// Evaluates on a thread with a deep stack: a nested file must not overflow the caller's.
-fn evaluate(file: &Path, main: String) -> Result<Record, Vec<Problem>> {
-    let name = file.display().to_string();
+/// Evaluates a text as a Nickel record, checked by the contract `name` of a schema.
+///
+/// # Errors
+/// What the evaluator finds, with its place in the text.
+pub fn evaluate<T>(file: &Path, text: &str, schema: &str, name: &str) -> Result<T, Problem>
+where
+    T: serde::de::DeserializeOwned + Send + 'static,
+{
+    // On one line with the text's own first, so that reports tell the text's own lines.
+    let schema: Vec<&str> = schema.lines().filter(|line| !line.trim_start().starts_with('#')).collect();
+    let main = format!("let schema = {} in ({text}\n) | schema.{name}", schema.join(" "));
+    let said = file.display().to_string();
     let folder = file.parent().unwrap_or(Path::new("")).to_owned();
-    let work = move || -> Result<Record, String> {
-        let builder = ProgramBuilder::new().add_source_string(main.as_str(), name).add_import_paths([folder]);
+    let work = move || -> Result<T, String> {
+        let builder = ProgramBuilder::new().add_source_string(main.as_str(), said).add_import_paths([folder]);
         let mut program: Program<CacheImpl> = builder.build().map_err(|error| error.to_string())?;
         match program.eval_full_for_export() {
-            Ok(value) => Record::deserialize(value).map_err(|error| error.to_string()),
+            Ok(value) => T::deserialize(value).map_err(|error| error.to_string()),
             Err(error) => Err(report_as_str(&mut program.files(), error, ColorOpt::Never)),
         }
     };
+    // On a thread with a deep stack: a nested file must not overflow the caller's.
     let thread = std::thread::Builder::new().stack_size(STACK).spawn(work);
     let outcome = thread.map_err(|error| error.to_string()).and_then(|thread| {
         thread.join().unwrap_or_else(|_| Err("the evaluator gave up on this file".to_owned()))
     });
-    outcome.map_err(|what| vec![Problem { file: file.to_owned(), field: None, what }])
+    outcome.map_err(|what| Problem { file: file.to_owned(), field: None, what })
 }
 
 /// Collects every problem, so that an operator mends a file once.
--- a/stand-in/src/record.rs
+++ b/stand-in/src/record.rs
@@ -27,21 +27,28 @@
     AfterFinal {
         client: u64,
     },
-    /// A work request was read whole from a socket.
+    /// A work request was read whole from a socket; `gateway` is how its sender names itself.
     Arrived {
         server: String,
+        gateway: String,
         request: String,
         mark: Option<String>,
         work: String,
         client: Option<u64>,
     },
+    /// A work request was turned away before anything ran.
+    Turned {
+        server: String,
+        request: String,
+        code: String,
+    },
     /// The box began work that has an effect.
     Ran {
         server: String,
         request: String,
     },
-    /// A repeat that the box knew by its mark.
-    Dropped {
+    /// A work request is over, however it ended.
+    Over {
         server: String,
         request: String,
     },
@@ -49,6 +56,7 @@
         server: String,
         request: String,
     },
+    /// Fetched, or let go.
     StateGone {
         server: String,
         request: String,
@@ -57,15 +65,25 @@
     FellOver {
         server: String,
     },
-    /// The gateways were told that a server drains or is gone (or is back).
+    /// A box, its cell, and how it misbehaves from now on.
+    Box {
+        server: String,
+        cell: String,
+        fault: String,
+    },
+    /// A gateway was told that a server drains or is gone, or that it is open.
     Told {
+        gateway: String,
         server: String,
         open: bool,
     },
-    /// A gateway was killed outright: what it held is no longer its duty.
+    /// A gateway was killed outright, or is back: what it held is no longer its duty.
     Killed {
         gateway: String,
     },
+    Back {
+        gateway: String,
+    },
 }
 
 /// How a client's request ended, by what it saw.
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -45,6 +45,7 @@
 /// A stand-in that runs. Dropping it is a kill: its socket and its streams break.
 pub struct StandIn {
     shared: Rc<Shared>,
+    cell: String,
     pub address: SocketAddr,
     _tasks: Vec<Task<()>>,
 }
@@ -54,7 +55,7 @@
     pub async fn start(
         executor: &Rc<LocalExecutor<'static>>,
         record: &Record,
-        name: &str,
+        (name, cell): (&str, &str),
         build: Build,
         address: SocketAddr,
         cold: bool,
@@ -74,12 +75,20 @@
             held: RefCell::default(),
             marks: RefCell::default(),
         });
+        let (server, cell) = (name.to_owned(), cell.to_owned());
+        record.write(Passed::Box { server, cell: cell.clone(), fault: "None".to_owned() });
         let work = executor.spawn(shared.clone().work());
         let accept = executor.spawn(accept(listener, shared.clone()));
-        Ok(StandIn { shared, address, _tasks: vec![work, accept] })
+        Ok(StandIn { shared, cell, address, _tasks: vec![work, accept] })
     }
 
     pub fn set_fault(&self, fault: Fault) {
+        let server = self.shared.name.clone();
+        self.shared.record.write(Passed::Box {
+            server,
+            cell: self.cell.clone(),
+            fault: format!("{fault:?}"),
+        });
         self.shared.model.borrow_mut().set_fault(fault);
         self.shared.wake.notify(usize::MAX);
     }
@@ -102,6 +111,16 @@
     }
 }
 
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        // What a killed process held is gone with it.
+        let held: Vec<String> = self.shared.held.borrow().keys().cloned().collect();
+        for request in held {
+            self.shared.let_go(&request);
+        }
+    }
+}
+
 impl Shared {
     /// Lets the box work when it is due, and tells those who wait.
     async fn work(self: Rc<Self>) {
@@ -155,10 +174,25 @@
     }
 }
 
+/// A work request from its arrival to its end.
+struct Out {
+    record: Record,
+    server: String,
+    request: String,
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        let (server, request) = (self.server.clone(), self.request.clone());
+        self.record.write(Passed::Over { server, request });
+    }
+}
+
 /// A job in the box; dropping it cancels what is left of it.
 struct InBox {
     shared: Rc<Shared>,
     id: u64,
+    _out: Out,
     events: Receiver<Happened>,
 }
 
@@ -247,29 +281,26 @@
     let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
     let id = header("x-request-id").unwrap_or_default();
     let mark = header("idempotency-key");
+    let gateway = header("user-agent").unwrap_or_default();
     let path = request.uri().path().to_owned();
     let body = match request.into_body().collect().await {
         Ok(body) => body.to_bytes(),
         Err(_) => return error(400, "", "bad_body"),
     };
     let json: Value = serde_json::from_slice(&body).unwrap_or_default();
-    if matches!(shared.model.borrow().fault(), Fault::Silent | Fault::Hangs) || shared.model.borrow().fallen()
-    {
-        let server = shared.name.clone();
-        shared.record.write(Passed::Arrived {
-            server,
-            request: id,
-            mark,
-            work: "lost".to_owned(),
-            client: None,
-        });
-        return future::pending().await;
-    }
+    let lost = matches!(shared.model.borrow().fault(), Fault::Silent | Fault::Hangs)
+        || shared.model.borrow().fallen();
     match path.as_str() {
-        "/v1/completions" => completions(id, mark, json, shared, reset).await,
+        "/v1/completions" => {
+            let asked = Asked { request: id, mark, gateway, json, lost };
+            completions(asked, shared, reset).await
+        }
         "/v1/kv/release" | "/v1/kv/fetch" => {
             let named = json.get("request_id").and_then(Value::as_str).unwrap_or(&id).to_owned();
             let had = shared.let_go(&named);
+            if lost {
+                return future::pending().await;
+            }
             if path.ends_with("fetch") && !had {
                 return error(404, &shared.load(), "state_missing");
             }
@@ -279,13 +310,16 @@
     }
 }
 
-async fn completions(
+struct Asked {
     request: String,
     mark: Option<String>,
+    gateway: String,
     json: Value,
-    shared: Rc<Shared>,
-    reset: Sender<()>,
-) -> Answered {
+    lost: bool,
+}
+
+async fn completions(asked: Asked, shared: Rc<Shared>, reset: Sender<()>) -> Answered {
+    let Asked { request, mark, gateway, json, lost } = asked;
     let Some(prompt) = json.get("prompt").and_then(Value::as_str) else {
         return error(400, &shared.load(), "prompt_missing");
     };
@@ -300,18 +334,26 @@
     // Rehearsal clients number their requests in the prompt, so that both ends of the way can be matched.
     let client =
         prompt.rsplit("#client ").next().and_then(|rest| rest.split_whitespace().next()?.parse().ok());
-    let (known, mark_said) = (mark.clone(), mark.clone());
-    let arrived = Passed::Arrived {
+    let out = Out { record: shared.record.clone(), server: server.clone(), request: request.clone() };
+    shared.record.write(Passed::Arrived {
         server: server.clone(),
+        gateway,
         request: request.clone(),
-        mark: mark_said,
+        mark: mark.clone(),
         work: word,
         client,
+    });
+    if lost {
+        let _out = out;
+        return future::pending().await;
+    }
+    let turned = |status: u16, code: &str| {
+        let (server, request, said) = (server.clone(), request.clone(), code.to_owned());
+        shared.record.write(Passed::Turned { server, request, code: said });
+        error(status, &shared.load(), code)
     };
-    shared.record.write(arrived);
-    if work != Work::Read && known.is_some_and(|mark| shared.marks.borrow().contains(&mark)) {
-        shared.record.write(Passed::Dropped { server, request });
-        return error(409, &shared.load(), "repeated");
+    if work != Work::Read && mark.as_ref().is_some_and(|mark| shared.marks.borrow().contains(mark)) {
+        return turned(422, "repeated");
     }
     let max_tokens = json.get("max_tokens").and_then(Value::as_u64).unwrap_or(16);
     let job = shared.next.get();
@@ -324,11 +366,11 @@
         answer_tokens: if work == Work::Read { 0 } else { max_tokens },
     };
     if work == Work::Write && fetch(&transfer).await.is_err() {
-        return error(409, &shared.load(), "state_missing");
+        return turned(409, "state_missing");
     }
     let (sender, events) = async_channel::unbounded();
     shared.waiters.borrow_mut().insert(job.id, sender);
-    let in_box = InBox { shared: shared.clone(), id: job.id, events };
+    let in_box = InBox { shared: shared.clone(), id: job.id, _out: out, events };
     let prompt_tokens = job.prompt_tokens;
     let (was_up, taken) = {
         let mut model = shared.model.borrow_mut();
@@ -339,8 +381,8 @@
         shared.record.write(Passed::FellOver { server: server.clone() });
     }
     match taken {
-        Err(Refused::Full) => return error(503, &shared.load(), "full"),
-        Err(Refused::Unable) => return error(400, &shared.load(), "wrong_role"),
+        Err(Refused::Full) => return turned(503, "full"),
+        Err(Refused::Unable) => return turned(400, "wrong_role"),
         Ok(()) => {}
     }
     shared.wake.notify(usize::MAX);
