--- /dev/null
+++ b/rehearsal/tests/auditor.rs
@@ -0,0 +1,136 @@
+//! The auditor against records in which one rule at a time is broken, and against the same without the break.
+
+use petrelshore_rehearsal::auditor::{Effect, Figures, judge};
+use petrelshore_stand_in::record::{Entry, FinalSeen, Passed};
+
+const MS: u64 = 1_000_000;
+const NONE: [u8; 0] = [];
+
+fn figures() -> Figures {
+    let mut figures = Figures::new(500 * MS, 250 * MS);
+    figures.effects.insert("once".to_owned(), Effect::OnceOnly);
+    figures.effects.insert("marked".to_owned(), Effect::TokenedInCell(5_000 * MS));
+    figures
+}
+
+fn asked(traffic: &str) -> Passed {
+    Passed::Asked { client: 1, gateway: "gw".to_owned(), traffic: traffic.to_owned(), until: 4_000 * MS }
+}
+
+fn answered(answer: FinalSeen) -> Passed {
+    Passed::Answered { client: 1, answer, first_token: None, tokens: 0 }
+}
+
+fn arrived(server: &str, number: u32, work: &str) -> Passed {
+    Passed::Arrived {
+        server: server.to_owned(),
+        gateway: "petrelshore/gw".to_owned(),
+        request: format!("s-{number}"),
+        mark: None,
+        work: work.to_owned(),
+        client: Some(1),
+    }
+}
+
+fn of(what: fn(String, String) -> Passed, server: &str, number: u32) -> Passed {
+    what(server.to_owned(), format!("s-{number}"))
+}
+
+fn over(server: &str, number: u32) -> Passed {
+    of(|server, request| Passed::Over { server, request }, server, number)
+}
+
+fn held(server: &str, number: u32) -> Passed {
+    of(|server, request| Passed::StateHeld { server, request }, server, number)
+}
+
+fn gone(server: &str, number: u32) -> Passed {
+    of(|server, request| Passed::StateGone { server, request }, server, number)
+}
+
+fn turned(server: &str, number: u32, code: &str) -> Passed {
+    Passed::Turned { server: server.to_owned(), request: format!("s-{number}"), code: code.to_owned() }
+}
+
+fn cell(server: &str, cell: &str) -> Passed {
+    Passed::Box { server: server.to_owned(), cell: cell.to_owned(), fault: "None".to_owned() }
+}
+
+fn told(open: bool) -> Passed {
+    Passed::Told { gateway: "gw".to_owned(), server: "w1".to_owned(), open }
+}
+
+fn killed() -> Passed {
+    Passed::Killed { gateway: "gw".to_owned() }
+}
+
+/// The rules that the auditor finds broken in a record of (milliseconds, what passed).
+fn broken(record: Vec<(u64, Passed)>) -> Vec<u8> {
+    let entries: Vec<Entry> = record.into_iter().map(|(at, passed)| Entry { at: at * MS, passed }).collect();
+    let mut rules: Vec<u8> = judge(&entries, &figures()).breaks.iter().map(|found| found.rule).collect();
+    rules.dedup();
+    rules
+}
+
+#[test]
+fn rule_one_a_final_answer_once_in_time_and_nothing_after_it() {
+    use FinalSeen::*;
+    assert_eq!(broken(vec![(0, asked("any")), (100, answered(Generated))]), NONE);
+    assert_eq!(broken(vec![(0, asked("any"))]), [1]);
+    assert_eq!(broken(vec![(0, asked("any")), (100, answered(Nothing))]), [1]);
+    assert_eq!(broken(vec![(0, asked("any")), (50, killed()), (100, answered(Nothing))]), NONE);
+    assert_eq!(broken(vec![(0, asked("any")), (100, answered(Rejected)), (200, answered(Aborted))]), [1]);
+    assert_eq!(broken(vec![(0, asked("any")), (4_500, answered(Rejected))]), [1]);
+    assert_eq!(broken(vec![(0, asked("any")), (100, answered(Left)), (900, arrived("w1", 0, "write"))]), [1]);
+    assert_eq!(
+        broken(vec![(0, asked("any")), (9, answered(Generated)), (9, Passed::AfterFinal { client: 1 })]),
+        [1]
+    );
+}
+
+#[test]
+fn rule_two_no_effect_twice() {
+    use FinalSeen::*;
+    let twice = |traffic, second: &str, at| {
+        let cells = [(0, cell("w1", "a")), (0, cell("w2", "a")), (0, cell("w3", "b")), (0, asked(traffic))];
+        let sent = [(10, arrived("w1", 1, "write")), (at, arrived(second, 2, "write"))];
+        cells.into_iter().chain(sent).chain([(at + 10, answered(Aborted))]).collect::<Vec<_>>()
+    };
+    assert_eq!(broken(twice("any", "w2", 500)), NONE);
+    assert_eq!(broken(twice("once", "w2", 500)), [2]);
+    assert_eq!(broken(twice("marked", "w2", 500)), NONE);
+    assert_eq!(broken(twice("marked", "w3", 500)), [2]);
+    let mut proven = twice("once", "w2", 500);
+    proven.insert(5, (20, turned("w1", 1, "full")));
+    assert_eq!(broken(proven), NONE);
+    let refused = |answer| vec![(0, asked("once")), (9, arrived("w1", 1, "write")), (99, answered(answer))];
+    assert_eq!((broken(refused(Aborted)), broken(refused(Rejected))), (vec![], vec![2]));
+    let mut late = twice("marked", "w2", 3_900);
+    late.iter_mut().filter(|(at, _)| *at >= 3_900).for_each(|(at, _)| *at += 2_000);
+    assert!(broken(late).contains(&2));
+}
+
+#[test]
+fn rule_three_drains_are_kept() {
+    let sent = |at| vec![(0, told(false)), (at, arrived("w1", 0, "write"))];
+    assert_eq!((broken(sent(300)), broken(sent(900))), (vec![], vec![3]));
+    assert_eq!(broken(vec![(0, told(false)), (100, told(true)), (900, arrived("w1", 0, "write"))]), NONE);
+}
+
+#[test]
+fn rule_four_nothing_cold_is_pushed_over() {
+    assert_eq!(broken(vec![(0, Passed::FellOver { server: "w1".to_owned() })]), [4]);
+}
+
+#[test]
+fn rule_five_nothing_is_left_pinned() {
+    let read = || vec![(0, arrived("r1", 0, "read")), (50, held("r1", 0)), (50, over("r1", 0))];
+    let with = |more: Vec<(u64, Passed)>| broken(read().into_iter().chain(more).collect());
+    assert_eq!(with(vec![(400, gone("r1", 0)), (5_000, told(true))]), NONE);
+    assert_eq!(with(vec![(5_000, gone("r1", 0))]), [5]);
+    assert_eq!(with(vec![(5_000, told(true))]), [5]);
+    // An attempt that is out takes it along for as long as that runs.
+    let out = vec![(300, arrived("w1", 1, "write")), (4_000, over("w1", 1)), (4_100, gone("r1", 0))];
+    assert_eq!(with(out), NONE);
+    assert_eq!(with(vec![(100, killed()), (5_000, told(true))]), NONE);
+}
