Repeats by key, owed releases, doors, trusted connections, lists that are not believed

Decisions that a serving gateway meets stood as tuned values in its adapters, or nowhere. A repeat with the same idempotency key now gets the end its first one got and runs nothing; a release is told again until its reader has answered; connections and unread bytes are bounded in all and by address; a pooled connection that breaks under a request makes the idle ones less trusted; a list that would drain the fleet is refused once. Each is a module of its own without I/O.

A rehearsal's auditor reported a state pinned for 17 s: the read of a gateway that was killed ended just after the kill. That is no gateway's duty, so the auditor now goes by the kill alone, and stand-ins drop a state nobody comes for, as engines do.

--- a/chat/src/reply.rs
+++ b/chat/src/reply.rs
@@ -109,6 +109,16 @@
 impl From<Refusal> for Error {
     fn from(refusal: Refusal) -> Error {
         let (status, kind, code, message, wait) = match refusal {
+            Refusal::KeyReused => {
+                return Error {
+                    status: 422,
+                    kind: "invalid_request_error",
+                    code: Some("idempotency_key_reused"),
+                    param: Some("Idempotency-Key".to_owned()),
+                    message: "this Idempotency-Key stands for another request".to_owned(),
+                    retry: Retry::Mended,
+                };
+            }
             Refusal::GatewayFull { retry_after } => {
                 (503, "server_error", "overloaded", "the gateway holds all that it may", retry_after)
             }
@@ -155,6 +165,7 @@
         Reason::Broken => "the answer broke off",
         Reason::Stalled => "the client took nothing of its answer",
         Reason::Draining => "this gateway is stopping",
+        Reason::Repeated => "a request with this Idempotency-Key ended before and its answer is not kept",
     };
     Some(match harmless {
         true => Error {
--- a/chat/src/serve.rs
+++ b/chat/src/serve.rs
@@ -7,16 +7,17 @@
 use async_net::{TcpListener, TcpStream};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt, future, stream};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use hyper::service::service_fn;
 use hyper::{Method, Request};
 use petrelshore::interface::Nanos;
+use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::{intake, pace};
 use petrelshore_gateway::{Answer, Final, Gateway, Next};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,8 @@
 const WHOLE_ANSWER: usize = 8 << 20;
 /// Past the conductor's own bound for a client that takes nothing, its socket is closed.
 const CLOSE_AFTER: Duration = Duration::from_secs(2);
+/// When to come back to a gateway that is busy reading.
+const SOON: Nanos = 1_000_000_000;
 /// After a failed accept, as when file handles run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,7 +50,8 @@
 
 /// Serves clients for as long as it is polled. Connections run where the gateway's tasks run.
 pub async fn serve(listening: Listening, gateway: Gateway) {
-    let open = Rc::new(Cell::new(0usize));
+    let limits = gateway.settings().limits;
+    let doors = Rc::new(RefCell::new(Doors::new(limits.connections, limits.body_bytes)));
     loop {
         let (stream, peer) = match listening.listener.accept().await {
             Ok(accepted) => accepted,
@@ -59,17 +63,38 @@
         };
         let gateway = gateway.clone();
         let spawner = gateway.spawner().clone();
-        if open.get() >= gateway.settings().limits.connections {
+        let client = intake::stable_id(&peer.ip().to_string());
+        if doors.borrow_mut().connect(client).is_err() {
             spawner.run(turn_away(stream));
             continue;
         }
-        open.set(open.get() + 1);
-        let open = open.clone();
-        let connection = async move {
-            connection(stream, peer, gateway).await;
-            open.set(open.get() - 1);
-        };
-        spawner.run(connection);
+        let inside = Inside { doors: doors.clone(), client };
+        spawner.run(connection(stream, peer, inside, gateway));
+    }
+}
+
+/// A client's place inside; dropping it is leaving.
+struct Inside {
+    doors: Rc<RefCell<Doors>>,
+    client: u64,
+}
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        self.doors.borrow_mut().leave(self.client);
+    }
+}
+
+/// Bytes of a body that is being read; dropping it gives their room back.
+struct Reading {
+    doors: Rc<RefCell<Doors>>,
+    client: u64,
+    bytes: usize,
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.doors.borrow_mut().less(self.client, self.bytes);
     }
 }
 
@@ -91,15 +116,15 @@
     future::or(write, late).await;
 }
 
-async fn connection(stream: TcpStream, peer: SocketAddr, gateway: Gateway) {
+async fn connection(stream: TcpStream, peer: SocketAddr, inside: Inside, gateway: Gateway) {
     // Tokens are small and must not wait for each other.
     let _ = stream.set_nodelay(true);
-    let client = intake::stable_id(&peer.ip().to_string());
+    let inside = Rc::new(inside);
     let head_time = Duration::from_nanos(gateway.settings().limits.body_time);
     let within = Duration::from_nanos(pace::stalled_for()) + CLOSE_AFTER;
     let service = service_fn(move |request| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(route(request, client, gateway).await) }
+        let (gateway, inside) = (gateway.clone(), inside.clone());
+        async move { Ok::<_, Infallible>(route(request, inside, gateway).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_time).max_buf_size(HEAD).max_headers(FIELDS);
@@ -109,11 +134,11 @@
     }
 }
 
-async fn route(request: Request<Incoming>, client: u64, gateway: Gateway) -> Reply {
+async fn route(request: Request<Incoming>, inside: Rc<Inside>, gateway: Gateway) -> Reply {
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions") => {
-            chat(request, client, gateway).await.unwrap_or_else(|error| error.reply())
+            chat(request, &inside, gateway).await.unwrap_or_else(|error| error.reply())
         }
         (&Method::GET, "/v1/models") => models(request.headers(), &gateway, None),
         (&Method::GET, path) if path.starts_with("/v1/models/") => {
@@ -162,15 +187,16 @@
 }
 
 /// The way of one chat request: its body whole, understood, taken, answered.
-async fn chat(request: Request<Incoming>, client: u64, gateway: Gateway) -> Result<Reply, Error> {
+async fn chat(request: Request<Incoming>, inside: &Inside, gateway: Gateway) -> Result<Reply, Error> {
     let arrived = gateway.clock().now();
     let settings = gateway.settings();
     let headers = request.headers().clone();
     let head = head(&headers);
     let tenant = request::caller(settings, &head)?;
-    let body = body(request.into_body(), settings.limits.body_bytes, settings.limits.body_time).await?;
-    let Chat { ask, include_usage } = request::decode(settings, &head, tenant, client, arrived, &body)?;
-    drop(body);
+    let (body, room) = body(request.into_body(), inside, settings.limits.body_time).await?;
+    let Chat { ask, include_usage } =
+        request::decode(settings, &head, tenant, inside.client, arrived, &body)?;
+    drop((body, room));
     let (model, streamed) = (ask.model.clone(), ask.relay == petrelshore_conductor::Relay::Streamed);
     let mut answer = gateway.take(ask)?;
     let id = format!("chatcmpl-{:016x}", answer.id().0);
@@ -234,22 +260,42 @@
     Error { status: 502, kind, code, param: None, message, retry: Retry::Never }.reply()
 }
 
-/// The whole body, within its size and its time.
-async fn body(incoming: Incoming, most: usize, within: Nanos) -> Result<Bytes, Error> {
-    let too_large = || wrong(413, format!("the body is larger than {most} bytes"));
-    if incoming.size_hint().lower() > most as u64 {
-        return Err(too_large());
-    }
+/// The whole body, within its size, its time, and what there is room for.
+async fn body(mut incoming: Incoming, inside: &Inside, within: Nanos) -> Result<(Vec<u8>, Reading), Error> {
+    let mut room = Reading { doors: inside.doors.clone(), client: inside.client, bytes: 0 };
     let read = async {
-        let body = Limited::new(incoming, most).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|error| match error.downcast_ref::<LengthLimitError>() {
-            Some(_) => too_large(),
-            None => wrong(400, "the body ended early"),
-        })
+        let told = usize::try_from(incoming.size_hint().lower()).unwrap_or(usize::MAX);
+        room.more(told)?;
+        let mut whole = Vec::with_capacity(told);
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| wrong(400, "the body ended early"))?;
+            let bytes = frame.into_data().unwrap_or_default();
+            room.more((whole.len() + bytes.len()).saturating_sub(room.bytes))?;
+            whole.extend_from_slice(&bytes);
+        }
+        Ok(whole)
     };
     let late = async {
         Timer::after(Duration::from_nanos(within)).await;
         Err(wrong(408, "the body was not whole in time"))
     };
-    future::or(read, late).await
+    let whole = future::or(read, late).await?;
+    Ok((whole, room))
+}
+
+impl Reading {
+    /// Room for so many bytes more.
+    fn more(&mut self, bytes: usize) -> Result<(), Error> {
+        let more = self.doors.borrow_mut().more(self.client, self.bytes, bytes);
+        match more {
+            Ok(()) => self.bytes += bytes,
+            Err(Shut::TooLarge) => return Err(wrong(413, "the body is larger than any may be")),
+            Err(Shut::Full | Shut::AddressFull) => {
+                let mut full = wrong(503, "too many requests are being read");
+                (full.kind, full.code, full.retry) = ("server_error", Some("overloaded"), Retry::After(SOON));
+                return Err(full);
+            }
+        }
+        Ok(())
+    }
 }
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -66,6 +66,8 @@
     Stalled,
     /// The gateway is stopping.
     Draining,
+    /// A request with its key ended before, and its answer is not kept.
+    Repeated,
 }
 
 /// What a shell carries out.
--- /dev/null
+++ b/conductor/src/connections.rs
@@ -0,0 +1,87 @@
+//! Which connection an exchange rides on: what is kept open between exchanges, for how long, and for whom.
+//!
+//! A pooled connection saves a round trip and risks that the server closes it just as a request goes out, which
+//! proves nothing about that request. So connections are kept shortly, fewest where a server closes many under us.
+
+use petrelshore::interface::Nanos;
+use std::collections::BTreeMap;
+
+/// Idle connections kept for one server, and for all together.
+const IDLE_MOST: usize = 64;
+const IDLE_ALL: usize = 4096;
+/// Servers close idle connections after some time of their own. Where nothing is known of it, this is safe.
+const IDLE_FOR: Nanos = 20_000_000_000;
+/// Never trust an idle connection for less than this, nor learn to.
+const IDLE_LEAST: Nanos = 500_000_000;
+/// After a connection broke under a request, the next ones are trusted for this part of the time it was idle.
+const TRUST_AFTER_BREAK: f64 = 0.5;
+/// Each exchange that ends well lets idle connections be trusted for a little longer again.
+const TRUST_BACK: f64 = 1.05;
+
+/// Idle connections to one server, the one used last at the end.
+struct Idle<C> {
+    kept: Vec<(C, Nanos)>,
+    trusted_for: Nanos,
+}
+
+/// Open connections that wait for their next exchange. `S` tells servers apart, `C` is the connection.
+pub struct Connections<S, C> {
+    servers: BTreeMap<S, Idle<C>>,
+    all: usize,
+}
+
+impl<S: Ord + Copy, C> Default for Connections<S, C> {
+    fn default() -> Self {
+        Connections { servers: BTreeMap::new(), all: 0 }
+    }
+}
+
+impl<S: Ord + Copy, C> Connections<S, C> {
+    /// The connection to use for an exchange, with how long it was idle. Ones that are closed (`open` tells) or were
+    /// idle for too long are dropped on the way. The one used last goes first, so that the others can run out.
+    pub fn take(&mut self, now: Nanos, server: S, open: impl Fn(&C) -> bool) -> Option<(C, Nanos)> {
+        let idle = self.servers.get_mut(&server)?;
+        while let Some((connection, since)) = idle.kept.pop() {
+            self.all -= 1;
+            let waited = now.saturating_sub(since);
+            if waited <= idle.trusted_for && open(&connection) {
+                return Some((connection, waited));
+            }
+        }
+        None
+    }
+
+    /// An exchange has ended well: its connection may serve another.
+    pub fn keep(&mut self, now: Nanos, server: S, connection: C) {
+        let idle = self.servers.entry(server).or_insert(Idle { kept: Vec::new(), trusted_for: IDLE_FOR });
+        idle.trusted_for = ((idle.trusted_for as f64 * TRUST_BACK) as Nanos).min(IDLE_FOR);
+        if idle.kept.len() < IDLE_MOST && self.all < IDLE_ALL {
+            idle.kept.push((connection, now));
+            self.all += 1;
+        }
+    }
+
+    /// A connection broke under its request after it had been idle for so long. All others idle that long go too.
+    pub fn broke(&mut self, now: Nanos, server: S, waited: Nanos) {
+        let Some(idle) = self.servers.get_mut(&server) else { return };
+        idle.trusted_for = ((waited as f64 * TRUST_AFTER_BREAK) as Nanos).clamp(IDLE_LEAST, IDLE_FOR);
+        let before = idle.kept.len();
+        let trusted = idle.trusted_for;
+        idle.kept.retain(|(_, since)| now.saturating_sub(*since) <= trusted);
+        self.all -= before - idle.kept.len();
+    }
+
+    /// Nothing listens there any more, or the list no longer has it.
+    pub fn forget(&mut self, gone: impl Fn(&S) -> bool) {
+        let all = &mut self.all;
+        self.servers.retain(|server, idle| {
+            let keep = !gone(server);
+            *all -= if keep { 0 } else { idle.kept.len() };
+            keep
+        });
+    }
+
+    pub fn idle(&self) -> usize {
+        self.all
+    }
+}
--- a/conductor/src/intake.rs
+++ b/conductor/src/intake.rs
@@ -1,7 +1,6 @@
-//! What a request is to the decisions: its weight, its shared text, its session, and whether it is a repeat.
+//! What a request is to the decisions: its weight, its shared text, its session, and what tells it from another.
 
-use petrelshore::interface::{PrefixId, SeqId, SessionId};
-use std::collections::HashMap;
+use petrelshore::interface::{PrefixId, SessionId};
 
 /// Bytes of text that make a token, roughly, while the gateway has no tokeniser.
 const BYTES_A_TOKEN: f64 = 4.0;
@@ -59,25 +58,7 @@
     bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
-/// Idempotency keys of the sequences in hand. A client that repeats a request while its first is still running
-/// must not set a second one off beside it.
-#[derive(Debug, Default)]
-pub struct Keys {
-    in_hand: HashMap<(String, String), SeqId>,
-}
-
-impl Keys {
-    /// Holds a tenant's key for a sequence; false where another sequence has it in hand.
-    pub fn hold(&mut self, tenant: &str, key: &str, seq: SeqId) -> bool {
-        let slot = (tenant.to_owned(), key.to_owned());
-        if self.in_hand.contains_key(&slot) {
-            return false;
-        }
-        self.in_hand.insert(slot, seq);
-        true
-    }
-
-    pub fn let_go(&mut self, tenant: &str, key: &str) {
-        self.in_hand.remove(&(tenant.to_owned(), key.to_owned()));
-    }
+/// Tells one request from another under the same key.
+pub fn fingerprint(model: &str, prompt: &str, max_tokens: u32) -> u64 {
+    fold(fold(fold(FNV, model.as_bytes()), &max_tokens.to_le_bytes()), prompt.as_bytes())
 }
--- a/conductor/src/limits.rs
+++ b/conductor/src/limits.rs
@@ -14,6 +14,8 @@
 /// The shortest and longest time to come back that is told while nothing else bounds it.
 const SOONEST: Nanos = 100_000_000;
 const LATEST: Nanos = 30_000_000_000;
+/// So many a second are hoped to leave whatever was seen: two sums that fade alike have a ratio that does not.
+const HOPED: f64 = 1.0;
 /// A single client address may hold this part of the room, but never fewer than `FEW`.
 const ONE_CLIENT: f64 = 0.25;
 const FEW: usize = 64;
@@ -81,7 +83,7 @@
 
     /// When to come back: once as many have left as were turned away of late, within `longest`.
     pub fn come_back(&self, now: Nanos, longest: Option<Nanos>) -> Nanos {
-        let leaving = self.left.per_second(now, self.started).max(0.1);
+        let leaving = self.left.per_second(now, self.started) + HOPED;
         let wait = (self.turned_away.read(now).max(1.0) / leaving * 1e9) as Nanos;
         wait.clamp(SOONEST, longest.unwrap_or(LATEST).max(SOONEST))
     }
--- a/engine/src/exchange.rs
+++ b/engine/src/exchange.rs
@@ -20,11 +20,8 @@
 const RELEASE: &str = "/v1/kv/release";
 /// Largest whole answer of a reader, and largest error body: both hold a few fields.
 const ANSWER: usize = 256 << 10;
-/// Letting go of a state is tried so often, each time within this.
-const RELEASE_TRIES: usize = 3;
 /// After its closing mark an answer's body must end within this for its connection to serve again.
 const BODY_END: Duration = Duration::from_millis(500);
-const RELEASE_WITHIN: Duration = Duration::from_millis(150);
 
 /// What every exchange needs.
 #[derive(Clone, Debug)]
@@ -215,33 +212,25 @@
         Heard { result: Ok(writing), load }
     }
 
-    /// Tells a reader to let go of what it holds for a request. Tried a few times: a state that stays behind
-    /// fills the reader's memory. True once the reader has answered.
-    pub async fn release(&self, to: SocketAddr, request_id: &str) -> bool {
+    /// Tells a reader once to let go of what it holds for a request. An error says how the exchange ended.
+    pub async fn release(&self, to: SocketAddr, request_id: &str, within: Duration) -> Result<(), Ending> {
         let body = serde_json::json!({ "request_id": request_id }).to_string();
-        for _ in 0..RELEASE_TRIES {
-            let once = async {
-                let sender = match self.pool.pooled(to) {
-                    Some(sender) => sender,
-                    None => self.pool.connect(to, RELEASE_WITHIN).await?,
-                };
-                let request = self.post(to, RELEASE, request_id, None, Bytes::from(body.clone()))?;
-                let (response, sender) = send(sender, request).await.map_err(|_| Ending::Reset)?;
-                whole(response).await?;
-                self.pool.keep(to, sender);
-                Ok::<(), Ending>(())
+        let told = async {
+            let sender = match self.pool.pooled(to) {
+                Some((sender, _)) => sender,
+                None => self.pool.connect(to, within).await?,
             };
-            let late = async {
-                async_io::Timer::after(RELEASE_WITHIN).await;
-                Err(Ending::TimedOut)
-            };
-            match futures_lite::future::or(once, late).await {
-                Ok(()) => return true,
-                Err(Ending::NotConnected) => return false, // nothing listens: nothing is held
-                Err(_) => {}
-            }
-        }
-        false
+            let request = self.post(to, RELEASE, request_id, None, Bytes::from(body))?;
+            let (response, sender) = send(sender, request).await.map_err(|_| Ending::Reset)?;
+            let (status, _) = whole(response).await?;
+            self.pool.keep(to, sender);
+            if status.is_success() { Ok(()) } else { Err(Ending::Refused { status: status.as_u16() }) }
+        };
+        let late = async {
+            async_io::Timer::after(within).await;
+            Err(Ending::TimedOut)
+        };
+        futures_lite::future::or(told, late).await
     }
 
     /// Drops connections to servers that are no longer listed.
@@ -259,11 +248,14 @@
         let key = request.idempotency_key.as_deref();
         let mut message = self.post(request.to, COMPLETIONS, &request.request_id, key, body)?;
         let pooled = if request.fresh { None } else { self.pool.pooled(request.to) };
-        if let Some(sender) = pooled {
+        if let Some((sender, idle)) = pooled {
             match send(sender, message).await {
                 Ok(answered) => return Ok(answered),
                 Err(Some(unwritten)) => message = unwritten,
-                Err(None) => return Err(Ending::Reset),
+                Err(None) => {
+                    self.pool.broke(request.to, idle);
+                    return Err(Ending::Reset);
+                }
             }
         }
         let sender = self.pool.connect(request.to, request.connect_within).await?;
--- a/engine/src/pool.rs
+++ b/engine/src/pool.rs
@@ -6,42 +6,42 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::connections::Connections;
 use petrelshore_conductor::proof::Ending;
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 pub type Sender = SendRequest<Full<Bytes>>;
 
-/// Idle connections kept for one server.
-const IDLE_MOST: usize = 64;
-/// Servers close idle connections after some time of their own; ones older than this are not used again.
-const IDLE_FOR: Duration = Duration::from_secs(20);
 /// Most of a response's head: more is no model server.
 const HEAD: usize = 64 << 10;
 
 pub struct Pool {
     spawner: Spawner,
-    idle: RefCell<BTreeMap<SocketAddr, Vec<(Sender, Instant)>>>,
+    started: Instant,
+    idle: RefCell<Connections<SocketAddr, Sender>>,
 }
 
 impl Pool {
     pub fn new(spawner: Spawner) -> Self {
-        Pool { spawner, idle: RefCell::default() }
+        Pool { spawner, started: Instant::now(), idle: RefCell::default() }
     }
 
-    /// A connection that was used before and is open as far as can be told.
-    pub fn pooled(&self, to: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&to)?;
-        while let Some((sender, since)) = kept.pop() {
-            if sender.is_ready() && since.elapsed() < IDLE_FOR {
-                return Some(sender);
-            }
-        }
-        None
+    fn now(&self) -> Nanos {
+        self.started.elapsed().as_nanos() as Nanos
+    }
+
+    /// A connection that was used before and is open as far as can be told, and how long it was idle.
+    pub fn pooled(&self, to: SocketAddr) -> Option<(Sender, Nanos)> {
+        self.idle.borrow_mut().take(self.now(), to, Sender::is_ready)
+    }
+
+    /// A pooled connection broke under its request.
+    pub fn broke(&self, to: SocketAddr, idle: Nanos) {
+        self.idle.borrow_mut().broke(self.now(), to, idle);
     }
 
     /// A new connection, or none within the time.
@@ -71,19 +71,13 @@
 
     /// Takes a connection back whose exchange is over.
     pub fn keep(&self, to: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
-            return;
-        }
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(to).or_default();
-        kept.retain(|(sender, since)| !sender.is_closed() && since.elapsed() < IDLE_FOR);
-        if kept.len() < IDLE_MOST {
-            kept.push((sender, Instant::now()));
+        if !sender.is_closed() {
+            self.idle.borrow_mut().keep(self.now(), to, sender);
         }
     }
 
     /// Drops what is kept for servers that are no longer listed.
     pub fn keep_only(&self, listed: impl Fn(&SocketAddr) -> bool) {
-        self.idle.borrow_mut().retain(|address, _| listed(address));
+        self.idle.borrow_mut().forget(|address| !listed(address));
     }
 }
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -47,6 +47,8 @@
     KeyInHand {
         retry_after: Nanos,
     },
+    /// The idempotency key stands for another request.
+    KeyReused,
 }
 
 /// The one final answer of a sequence.
@@ -70,6 +72,8 @@
     pub(crate) gateway: Rc<Inner>,
     pub(crate) texts: Receiver<String>,
     pub(crate) over: bool,
+    /// The end of an earlier request with the same key, told again.
+    pub(crate) replayed: Option<Final>,
 }
 
 impl Answer {
@@ -87,7 +91,7 @@
             return Some(Next::Text(text));
         }
         self.over = true;
-        self.gateway.take_final(self.id).map(Next::Final)
+        self.replayed.take().or_else(|| self.gateway.take_final(self.id)).map(Next::Final)
     }
 }
 
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,12 +8,14 @@
 use event_listener::Event;
 use futures_lite::future;
 use petrelshore::interface::*;
-use petrelshore_conductor::intake::Keys;
+use petrelshore_conductor::intake::fingerprint;
 use petrelshore_conductor::limits::{NoRoom, Room};
 use petrelshore_conductor::proof::Ending;
+use petrelshore_conductor::releases::{Release, Releases};
+use petrelshore_conductor::replays::{self, Ended, Known, Replays};
 use petrelshore_conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, pace};
 use petrelshore_engine::{Client, Held, Load, Piece, Spawner, Usage, WriteRequest};
-use petrelshore_inventory::{Change, Format, Membership, Problem, kept, read_list};
+use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
 use petrelshore_settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -33,6 +35,8 @@
 pub enum ReloadError {
     Unreadable(String),
     Refused(Vec<Problem>),
+    /// It reads well and is not believed.
+    Doubted(Doubt),
 }
 
 impl std::fmt::Display for ReloadError {
@@ -43,6 +47,7 @@
                 let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
                 f.write_str(&lines.join("; "))
             }
+            ReloadError::Doubted(doubt) => doubt.fmt(f),
         }
     }
 }
@@ -58,6 +63,10 @@
     states: Vec<(ServerId, String, Held)>,
     finish: Option<String>,
     usage: Usage,
+    /// Its whole text so far, where a repeat may ask for it.
+    gathered: Option<String>,
+    /// Something of it may have taken effect.
+    may_have_run: bool,
     /// The front has let go of its answer.
     left: bool,
 }
@@ -71,7 +80,9 @@
     membership: RefCell<Membership>,
     addresses: RefCell<BTreeMap<ServerId, SocketAddr>>,
     room: RefCell<Room>,
-    keys: RefCell<Keys>,
+    guard: RefCell<Guard>,
+    replays: RefCell<Replays<Final>>,
+    releases: RefCell<Releases>,
     tickets: RefCell<HashMap<SeqId, Ticket>>,
     last_id: Cell<u64>,
     draining: Cell<bool>,
@@ -100,7 +111,9 @@
             membership: RefCell::new(membership),
             addresses: RefCell::default(),
             room: RefCell::new(Room::new(now, settings.limits.sequences)),
-            keys: RefCell::default(),
+            guard: RefCell::default(),
+            replays: RefCell::default(),
+            releases: RefCell::new(Releases::new(settings.deployment.release_within)),
             tickets: RefCell::default(),
             // Ids of gateways and of earlier runs must not meet at the model servers.
             last_id: Cell::new(seed << 24),
@@ -149,6 +162,8 @@
         let text = std::fs::read_to_string(file).map_err(|error| unreadable(error.to_string()))?;
         let list = read_list(file, format, &text, &inner.settings.kinds).map_err(ReloadError::Refused)?;
         let count = list.servers.len();
+        let believed = inner.guard.borrow_mut().judge(inner.membership.borrow().list(), &list);
+        believed.map_err(ReloadError::Doubted)?;
         let change = inner.membership.borrow_mut().replace(inner.clock.now(), list);
         inner.listed(change);
         inner.keep_list(&inner.settings.kept);
@@ -163,24 +178,31 @@
         if inner.draining.get() {
             return Err(Refusal::Draining { retry_after: SOON });
         }
+        let key = ask.idempotency_key.as_ref().map(|key| inner.key(&ask, key));
+        let id = SeqId(inner.last_id.get().wrapping_add(1));
+        if let Some(key) = &key {
+            let print = fingerprint(&ask.model, &ask.prompt, ask.max_tokens);
+            let known = inner.replays.borrow_mut().come(now, key, print);
+            match known {
+                Known::New => {}
+                Known::InHand => return Err(Refusal::KeyInHand { retry_after: SOON }),
+                Known::OtherRequest => return Err(Refusal::KeyReused),
+                Known::Ended(ended) => return Ok(inner.replayed(id, ended)),
+            }
+        }
         let value = inner.settings.traffic[ask.traffic.0].value;
         let longest = inner.settings.deployment.longest_retry_after;
         let no_room = inner.room.borrow_mut().take(now, ask.client, value);
         if let Err(no_room) = no_room {
+            key.iter().for_each(|key| inner.replays.borrow_mut().free(key));
             let retry_after = inner.room.borrow().come_back(now, longest);
             return Err(match no_room {
                 NoRoom::Gateway => Refusal::GatewayFull { retry_after },
                 NoRoom::Client => Refusal::ClientFull { retry_after },
             });
         }
-        let id = SeqId(inner.last_id.get().wrapping_add(1));
         inner.last_id.set(id.0);
-        if let Some(key) = &ask.idempotency_key
-            && !inner.keys.borrow_mut().hold(inner.tenant_name(&ask), key, id)
-        {
-            inner.room.borrow_mut().leave(now, ask.client);
-            return Err(Refusal::KeyInHand { retry_after: SOON });
-        }
+        let gathered = key.is_some().then(String::new);
         let (texts, receiver) = async_channel::bounded(TEXTS);
         let new = NewSequence {
             id,
@@ -204,11 +226,13 @@
             states: Vec::new(),
             finish: None,
             usage: Usage::default(),
+            gathered,
+            may_have_run: false,
             left: false,
         };
         inner.tickets.borrow_mut().insert(id, ticket);
         inner.tell(|conductor, now, out| conductor.take(now, new, out));
-        Ok(Answer { id, gateway: inner.clone(), texts: receiver, over: false })
+        Ok(Answer { id, gateway: inner.clone(), texts: receiver, over: false, replayed: None })
     }
 
     /// Takes nothing further, lets running streams go on for the drain time, then answers the rest. Returns how
@@ -288,7 +312,16 @@
                 Action::AskAt { .. } | Action::AskList { .. } => {}
             }
         }
-        if self.conductor.borrow().next_due().is_some_and(|due| due < self.waits_for.get()) {
+        self.wake_timers();
+    }
+
+    fn next_due(&self) -> Option<Nanos> {
+        let releases = self.releases.borrow().next_due();
+        self.conductor.borrow().next_due().into_iter().chain(releases).min()
+    }
+
+    fn wake_timers(&self) {
+        if self.next_due().is_some_and(|due| due < self.waits_for.get()) {
             self.sooner.notify(usize::MAX);
         }
     }
@@ -296,11 +329,13 @@
     async fn run_timers(self: Rc<Self>) {
         loop {
             let sooner = self.sooner.listen();
-            let due = self.conductor.borrow().next_due();
+            let due = self.next_due();
             self.waits_for.set(due.unwrap_or(Nanos::MAX));
             match due {
                 Some(due) if due <= self.clock.now() => {
                     self.tell(|conductor, now, out| conductor.due(now, out));
+                    let again = self.releases.borrow_mut().due(self.clock.now());
+                    again.into_iter().for_each(|release| self.tell_release(release));
                     future::yield_now().await;
                 }
                 Some(due) => {
@@ -340,6 +375,7 @@
             fresh: dispatch.fresh,
             connect_within: Duration::from_nanos(dispatch.connect_within),
         };
+        ticket.may_have_run |= dispatch.step != Step::Read;
         let inner = self.clone();
         let task = self.spawner.spawn(async move {
             if dispatch.step == Step::Read {
@@ -411,7 +447,12 @@
             let mut tickets = self.tickets.borrow_mut();
             let Some(ticket) = tickets.get_mut(&id) else { return false };
             match piece {
-                Piece::Text(text) => (text, ticket.texts.clone()),
+                Piece::Text(text) => {
+                    if let Some(gathered) = &mut ticket.gathered {
+                        gathered.push_str(&text);
+                    }
+                    (text, ticket.texts.clone())
+                }
                 Piece::Finish(finish) => {
                     ticket.finish = Some(finish);
                     return true;
@@ -445,6 +486,7 @@
         }
         if ending == Ending::NotConnected {
             let change = self.membership.borrow_mut().absent(self.clock.now(), dispatch.server);
+            self.releases.borrow_mut().started_anew(dispatch.server);
             change.into_iter().for_each(|change| self.listed(change));
         }
         if ending == Ending::StateMissing {
@@ -514,14 +556,27 @@
     }
 
     fn let_go(self: &Rc<Self>, server: ServerId, request: String) {
-        let Some(to) = self.addresses.borrow().get(&server).copied() else { return };
+        let release = Release { server, request };
+        if self.releases.borrow_mut().owe(self.clock.now(), &release) {
+            self.tell_release(release);
+        }
+        self.wake_timers();
+    }
+
+    /// Tells a reader once. It is told again until it has answered, or is known to hold nothing.
+    fn tell_release(self: &Rc<Self>, release: Release) {
+        let Some(to) = self.addresses.borrow().get(&release.server).copied() else {
+            return self.releases.borrow_mut().settled(&release);
+        };
         let inner = self.clone();
-        let told = async move {
-            if !inner.client.release(to, &request).await {
-                debug!(%request, %to, "the server did not answer a release");
+        let within = Duration::from_nanos(self.releases.borrow().answer_within());
+        self.spawner.run(async move {
+            let told = inner.client.release(to, &release.request, within).await;
+            debug!(request = %release.request, %to, ?told, "release");
+            if matches!(told, Ok(()) | Err(Ending::NotConnected)) {
+                inner.releases.borrow_mut().settled(&release);
             }
-        };
-        self.spawner.run(told);
+        });
     }
 
     fn over(self: &Rc<Self>, id: SeqId, outcome: Outcome, reason: Option<Reason>) {
@@ -541,6 +596,19 @@
     fn finish(self: &Rc<Self>, id: SeqId, last: Final) {
         if let Some(ticket) = self.tickets.borrow_mut().get_mut(&id) {
             debug!(seq = id.0, ?last, "final answer");
+            let window = match self.settings.traffic[ticket.ask.traffic.0].effect {
+                Effect::Tokened { window, .. } => window,
+                _ => replays::WINDOW,
+            };
+            if let (Some(key), Some(text)) = (&ticket.ask.idempotency_key, &ticket.gathered) {
+                let key = self.key(&ticket.ask, key);
+                match &last {
+                    Final::Rejected { .. } => self.replays.borrow_mut().free(&key),
+                    last => {
+                        self.replays.borrow_mut().ended(self.clock.now(), &key, text, last.clone(), window)
+                    }
+                }
+            }
             ticket.last = Some(last);
             ticket.texts.close();
         }
@@ -572,11 +640,39 @@
         drop(tickets);
         self.room.borrow_mut().leave(self.clock.now(), ticket.ask.client);
         if let Some(key) = &ticket.ask.idempotency_key {
-            self.keys.borrow_mut().let_go(self.tenant_name(&ticket.ask), key);
+            // Its client left before any final answer: what may have run must not run again by its key.
+            let key = self.key(&ticket.ask, key);
+            let mut replays = self.replays.borrow_mut();
+            if ticket.may_have_run {
+                let end = Final::Aborted { reason: Reason::Repeated };
+                replays.ended(self.clock.now(), &key, "", end, replays::WINDOW);
+            }
+            replays.free(&key);
         }
         self.emptied.notify(usize::MAX);
     }
 
+    /// The end of an earlier request with the same key, told again.
+    fn replayed(self: &Rc<Self>, id: SeqId, ended: Ended<Final>) -> Answer {
+        let (texts, receiver) = async_channel::bounded(1);
+        let last = match ended {
+            Ended::Answered { text, end } => {
+                if !text.is_empty() {
+                    // The channel is new and has room for one.
+                    let _ = texts.try_send(text.to_string());
+                }
+                end
+            }
+            Ended::TooLarge => Final::Aborted { reason: Reason::Repeated },
+        };
+        texts.close();
+        Answer { id, gateway: self.clone(), texts: receiver, over: false, replayed: Some(last) }
+    }
+
+    fn key(&self, ask: &Ask, key: &str) -> replays::Key {
+        (self.tenant_name(ask).to_owned(), key.to_owned())
+    }
+
     fn tenant_name(&self, ask: &Ask) -> &str {
         ask.tenant.map_or("", |TenantId(tenant)| &self.settings.tenants[tenant])
     }
--- a/inventory/src/lib.rs
+++ b/inventory/src/lib.rs
@@ -5,10 +5,12 @@
 //! outlives a kill. Only [`kept::store`] and [`kept::load`] touch the disk.
 
 mod formats;
+mod guard;
 pub mod kept;
 mod membership;
 
 pub use formats::{Format, Problem, read_list};
+pub use guard::{Doubt, Guard};
 pub use membership::{Change, Membership};
 
 use petrelshore::interface::{Condition, ServerId};
--- a/inventory/tests/lists.rs
+++ b/inventory/tests/lists.rs
@@ -116,3 +116,39 @@
     assert_eq!(kept::load(&file).unwrap(), Some((list, since)));
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_list_that_would_drain_the_fleet_is_refused_once_and_taken_when_offered_again() {
+    use petrelshore_inventory::{Doubt, Guard};
+    let names: String = (1..=8)
+        .map(|n| {
+            format!(
+                "{n},b{n},{},127.0.0.1:90{n:02},c{},here,1,ready\n",
+                if n < 4 { "reader" } else { "writer" },
+                n % 2
+            )
+        })
+        .collect();
+    let text = format!("{}\n{names}", CSV.lines().next().unwrap());
+    let before = read(Format::Csv, &text).unwrap();
+    let keep = |count| List { servers: before.servers[..count].to_vec() };
+    let mut guard = Guard::default();
+    assert_eq!(guard.judge(&before, &before), Ok(()));
+    assert_eq!(guard.judge(&before, &keep(5)), Ok(()));
+    assert_eq!(guard.judge(&before, &keep(2)), Err(Doubt::MostLeave { leaving: 6, of: 8 }));
+    let other = List { servers: before.servers[6..].to_vec() };
+    assert!(guard.judge(&before, &other).is_err(), "another list is not the same list offered again");
+    assert_eq!(guard.judge(&before, &other), Ok(()));
+    assert!(
+        matches!(guard.judge(&before, &other), Err(Doubt::MostLeave { .. })),
+        "it is asked anew each time"
+    );
+    let moved = read(Format::Csv, &text.replace(",c1,", ",c9,").replace(",c0,", ",c8,")).unwrap();
+    assert_eq!(guard.judge(&before, &moved), Err(Doubt::MostMove { moving: 8, of: 8 }));
+    let no_readers = List { servers: before.servers[3..].to_vec() };
+    assert_eq!(guard.judge(&before, &no_readers), Err(Doubt::KindEmpty { kind: "reader".to_owned() }));
+    let draining = read(Format::Csv, &text.replace("ready", "draining")).unwrap();
+    assert!(matches!(guard.judge(&before, &draining), Err(Doubt::MostLeave { leaving: 8, .. })));
+    let few = List { servers: before.servers[..2].to_vec() };
+    assert_eq!(guard.judge(&few, &keep(1)), Ok(()));
+}
--- a/rehearsal/src/auditor.rs
+++ b/rehearsal/src/auditor.rs
@@ -258,6 +258,8 @@
     #[derive(Default)]
     struct Holding<'a> {
         gateway: &'a str,
+        /// Its first arrival at any box.
+        began: Nanos,
         out: usize,
         held: BTreeMap<(&'a str, &'a str), ()>,
         /// Since when states are held with nothing out.
@@ -273,7 +275,7 @@
             .get(holding.gateway)
             .into_iter()
             .flatten()
-            .any(|(down, _)| *down >= since && *down <= until);
+            .any(|(down, _)| *down >= holding.began && *down <= until);
         if until > since + figures.release_within + figures.slack && !killed {
             let held = (until - since) / MILLISECOND;
             let what = format!("a state of {sequence} was held for {held} ms with no attempt out");
@@ -298,6 +300,7 @@
         match &entry.passed {
             Passed::Arrived { gateway, .. } => {
                 holding.gateway = gateway.strip_prefix("petrelshore/").unwrap_or(gateway);
+                holding.began = if holding.began == 0 { entry.at } else { holding.began };
                 holding.out += 1;
             }
             Passed::Over { .. } => holding.out = holding.out.saturating_sub(1),
--- a/stand-in/src/model.rs
+++ b/stand-in/src/model.rs
@@ -23,6 +23,8 @@
     pub slots: usize,
     pub queue: usize,
     pub memory_tokens: u64,
+    /// Engines drop a state that nobody comes for, after a time of their own.
+    pub state_for: Nanos,
     pub read_tokens_per_second: f64,
     /// Between two tokens of an answer while the box is otherwise idle; twice that when all slots are used.
     pub token_nanos: Nanos,
@@ -216,7 +218,8 @@
         if self.fallen || matches!(self.fault, Fault::Silent | Fault::Hangs) {
             return None;
         }
-        self.running.values().map(|running| running.due).chain(self.reading_until).min()
+        let expires = self.states.values().map(|(_, since)| since + self.build.state_for);
+        self.running.values().map(|running| running.due).chain(self.reading_until).chain(expires).min()
     }
 
     /// Does what is due by now.
@@ -232,6 +235,13 @@
             }
             self.next_read(now);
         }
+        let old = |since: &Nanos| since + self.build.state_for <= now;
+        let expired: Vec<u64> =
+            self.states.iter().filter(|(_, (_, since))| old(since)).map(|(id, _)| *id).collect();
+        for id in expired {
+            self.states.remove(&id);
+            out.push(Happened::Expired { id });
+        }
         let due: Vec<u64> = self.running.iter().filter(|(_, r)| r.due <= now).map(|(id, _)| *id).collect();
         let pace = self.pace(now);
         for id in due {
@@ -354,6 +364,7 @@
         slots: 2,
         queue: 2,
         memory_tokens: 1000,
+        state_for: 10_000_000_000,
         read_tokens_per_second: 1000.0,
         token_nanos: 1_000_000,
         cold_for: 1_000_000_000,
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -135,6 +135,18 @@
                     for event in happened {
                         let id = match event {
                             Happened::Read { id, .. } | Happened::Token { id, .. } => id,
+                            Happened::Expired { id } => {
+                                let held = self
+                                    .held
+                                    .borrow()
+                                    .iter()
+                                    .find(|(_, job)| **job == id)
+                                    .map(|(r, _)| r.clone());
+                                held.into_iter().for_each(|request| {
+                                    self.let_go(&request);
+                                });
+                                continue;
+                            }
                         };
                         if let Some(waiter) = self.waiters.borrow().get(&id) {
                             let _ = waiter.try_send(event);
@@ -547,6 +559,7 @@
         slots: 64,
         queue: 64,
         memory_tokens: 200_000,
+        state_for: 20_000_000_000,
         read_tokens_per_second: 20_000.0,
         token_nanos: 20_000_000,
         cold_for: 10_000_000_000,
