--- a/stand-in/src/model.rs
+++ b/stand-in/src/model.rs
@@ -96,6 +96,10 @@
         number: u64,
         last: bool,
     },
+    /// Nobody fetched or released a state for so long that it is dropped.
+    Expired {
+        id: u64,
+    },
 }
 
 /// Tokens of one block of kept text.
