Load command: streams through a gateway beside the same straight at its servers

Added latency can only be told beside the same servers reached directly, in one run. `petrelshore load` keeps so many streams going, through the gateway and then by the client's own read and write, and prints times to the first token and between tokens.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod trial;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use petrelshore_rehearsal::load;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -76,6 +77,39 @@
         /// Start cold
         #[arg(long)]
         cold: bool,
+        /// Answers written at once
+        #[arg(long, default_value_t = 64)]
+        slots: usize,
+        /// Milliseconds between tokens while idle
+        #[arg(long, default_value_t = 20)]
+        token_ms: u64,
+    },
+    /// Keep streams going and measure the times to the first token and between tokens
+    Load {
+        /// The chat API of a gateway
+        #[arg(long, default_value = "127.0.0.1:8080")]
+        to: SocketAddr,
+        /// Then the same straight at this reader, with --writer
+        #[arg(long, requires = "writer")]
+        reader: Option<SocketAddr>,
+        /// Then the same straight at this writer, with --reader
+        #[arg(long, requires = "reader")]
+        writer: Option<SocketAddr>,
+        /// Streams at once
+        #[arg(long, default_value_t = 100)]
+        streams: usize,
+        /// Tokens of each answer
+        #[arg(long, default_value_t = 50)]
+        tokens: u64,
+        /// Seconds for each way
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Model name
+        #[arg(long, default_value = "workshop-chat")]
+        model: String,
+        /// API key
+        #[arg(long)]
+        key: Option<String>,
     },
 }
 
@@ -98,7 +132,14 @@
         What::Check { settings } => serve::check(&settings),
         What::Try { listen } => trial::try_out(listen),
         What::Rehearse { script, record } => trial::rehearse(&script, record.as_deref()),
-        What::StandIn { role, listen, name, cold } => trial::stand_in(role, listen, &name, cold),
+        What::StandIn { role, listen, name, cold, slots, token_ms } => {
+            trial::stand_in(role, listen, &name, cold, slots, token_ms)
+        }
+        What::Load { to, reader, writer, streams, tokens, seconds, model, key } => {
+            let lasts = std::time::Duration::from_secs(seconds);
+            let direct = reader.zip(writer);
+            trial::load(to, direct, &load::Load { streams, tokens, lasts, model, key })
+        }
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -5,8 +5,8 @@
 use clap::ValueEnum;
 use futures_lite::{StreamExt, future};
 use petrelshore_rehearsal::rehearse::Outcome;
-use petrelshore_rehearsal::{fleet, rehearse, script};
-use petrelshore_stand_in::model::Role;
+use petrelshore_rehearsal::{fleet, load, rehearse, script};
+use petrelshore_stand_in::model::{Build, Role};
 use petrelshore_stand_in::record::Record;
 use petrelshore_stand_in::server::{StandIn, usual_build};
 use std::io::Write;
@@ -47,7 +47,14 @@
     outcome
 }
 
-pub fn stand_in(role: RoleName, listen: SocketAddr, name: &str, cold: bool) -> Result<(), String> {
+pub fn stand_in(
+    role: RoleName,
+    listen: SocketAddr,
+    name: &str,
+    cold: bool,
+    slots: usize,
+    token_ms: u64,
+) -> Result<(), String> {
     let role = match role {
         RoleName::Reader => Role::Reader,
         RoleName::Writer => Role::Writer,
@@ -56,7 +63,17 @@
     let executor = Rc::new(LocalExecutor::new());
     let run = async {
         let record = Record::default();
-        let stand_in = StandIn::start(&executor, &record, (name, ""), usual_build(role), listen, cold).await;
+        // Nobody reads what a lone stand-in writes down, and it may run for long.
+        record.forget();
+        let usual = usual_build(role);
+        let build = Build {
+            slots,
+            token_nanos: token_ms * 1_000_000,
+            memory_tokens: usual.memory_tokens.max(slots as u64 * 4_000),
+            queue: usual.queue.max(slots),
+            ..usual
+        };
+        let stand_in = StandIn::start(&executor, &record, (name, ""), build, listen, cold).await;
         let stand_in = stand_in.map_err(|error| format!("{listen}: {error}"))?;
         println!("stand-in {name} ready on {}", stand_in.address);
         stopped().await
@@ -123,3 +140,32 @@
         }
     }
 }
+
+/// Keeps streams going, through the gateway and then, where asked for, straight at the servers.
+pub fn load(
+    to: SocketAddr,
+    direct: Option<(SocketAddr, SocketAddr)>,
+    load: &load::Load,
+) -> Result<(), String> {
+    let executor = Rc::new(LocalExecutor::new());
+    let ways = [("gateway", load::Way::Gateway(to))]
+        .into_iter()
+        .chain(direct.map(|(reader, writer)| ("direct", load::Way::Direct { reader, writer })));
+    for (name, way) in ways {
+        let times = future::block_on(executor.run(load::run(&executor, way, load)))?;
+        let row = |times: &hdrhistogram::Histogram<u64>| {
+            let at = |quantile| times.value_at_quantile(quantile) as f64 / 1e3;
+            format!("p50 {:.2} ms, p90 {:.2}, p99 {:.2}", at(0.5), at(0.9), at(0.99))
+        };
+        println!(
+            "{name}: {} streams, {} answers, {} tokens, {} failed; first token {}; between tokens {}",
+            load.streams,
+            times.answers,
+            times.tokens,
+            times.failed,
+            row(&times.first),
+            row(&times.between)
+        );
+    }
+    Ok(())
+}
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod auditor;
 pub mod client;
 pub mod fleet;
+pub mod load;
 pub mod rehearse;
 pub mod script;
--- a/stand-in/src/record.rs
+++ b/stand-in/src/record.rs
@@ -1,6 +1,6 @@
 //! What passed on the sockets, as the stand-ins and the clients saw it. The auditor judges from this alone.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -113,11 +113,12 @@
 pub struct Record {
     started: Instant,
     entries: Rc<RefCell<Vec<Entry>>>,
+    forgets: Rc<Cell<bool>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        Record { started: Instant::now(), entries: Rc::default() }
+        Record { started: Instant::now(), entries: Rc::default(), forgets: Rc::default() }
     }
 }
 
@@ -126,7 +127,15 @@
         self.started.elapsed().as_nanos() as Nanos
     }
 
+    /// Keeps nothing from now on.
+    pub fn forget(&self) {
+        self.forgets.set(true);
+    }
+
     pub fn write(&self, passed: Passed) {
+        if self.forgets.get() {
+            return;
+        }
         self.entries.borrow_mut().push(Entry { at: self.now(), passed });
     }
 
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -10,7 +10,7 @@
 use event_listener::Event;
 use futures_lite::{AsyncWriteExt, Stream, future, stream};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -306,6 +306,13 @@
             }
         }
     }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answer::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Answer::Stream(_) => SizeHint::default(),
+        }
+    }
 }
 
 fn answer(status: u16, load: &str, body: &Value) -> Answered {
