A stream that breaks goes on from its last token where its work may run again

A writer that broke ended every stream it had with an abort, although repeatable work could be read on with the answer so far. The conductor now makes such a stream ready to go on, twice at the most, within its whole time; its client sees one stream. Once-only and tokened work never goes on, and what a client has seen part of is never rejected. Also guards against silent writers; costs a read of prompt and answer so far each time.

--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -1,5 +1,6 @@
 //! The sequences in hand: events in, actions out.
 
+use crate::continuation::{BrokenStream, go_on};
 use crate::pace;
 use crate::proof::Ending;
 use petrelshore::Brain;
@@ -45,6 +46,8 @@
     pub reader: Option<ServerId>,
     /// Time to the end of a read or to the first token.
     pub limit: Nanos,
+    /// Tokens that the client has seen of earlier attempts; the answer goes on after them.
+    pub done: u32,
     /// Time for its connection, where it needs a new one.
     pub connect_within: Nanos,
     /// Send on a new connection: a pooled one that closes under it would leave once-only work unproven.
@@ -134,6 +137,11 @@
     /// Its stream's last token.
     heard: Nanos,
     stalled_since: Option<Nanos>,
+    /// Tokens of its stream, over all attempts, and how often it has gone on after a break.
+    tokens: u32,
+    went_on: usize,
+    /// Tokens that were seen when it last went on.
+    done: u32,
 }
 
 const NEVER: Nanos = Nanos::MAX;
@@ -169,6 +177,9 @@
             ends_by: pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out),
             heard: now,
             stalled_since: None,
+            tokens: 0,
+            went_on: 0,
+            done: 0,
             seq: Sequence {
                 id,
                 traffic: new.traffic,
@@ -204,6 +215,7 @@
         }
         self.brain.began(now, &mut held.seq, attempt);
         held.heard = now;
+        held.tokens += 1;
         self.rearm(now, id);
     }
 
@@ -212,6 +224,7 @@
         // The timer is moved when it comes due, not for each token.
         if let Some(held) = self.held.get_mut(&id) {
             held.heard = now;
+            held.tokens += 1;
         }
     }
 
@@ -229,11 +242,27 @@
         let Some(status) = held.seq.attempts.get(attempt).map(|a| a.status) else { return };
         let began = status == Status::Streaming;
         let outcome = ending.outcome(began);
-        let last = outcome == Outcome::Generated || (began && held.relay == Relay::Streamed);
+        let broke = began && outcome != Outcome::Generated && held.relay == Relay::Streamed;
+        let last = outcome == Outcome::Generated || (broke && !self.goes_on(now, id));
         let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
         self.settle(now, id, attempt, outcome, last, reason, out);
     }
 
+    /// Makes a stream that broke ready to go on after its last token; false where it ends here.
+    fn goes_on(&mut self, now: Nanos, id: SeqId) -> bool {
+        let Some(held) = self.held.get_mut(&id).filter(|held| !held.seq.ended) else { return false };
+        let done = f64::from(held.tokens);
+        let max_out = held.seq.max_out + f64::from(held.done);
+        let broken = BrokenStream { went_on: held.went_on, tokens: done, max_out, ends_by: held.ends_by };
+        let Some(until) = go_on(now, &self.types[held.seq.traffic.0], &broken) else { return false };
+        // What the client has seen is part of the prompt now.
+        held.seq.prompt_tokens += done - f64::from(held.done);
+        held.seq.max_out = max_out - done;
+        (held.seq.resumed, held.seq.abandon_at) = (true, until);
+        (held.went_on, held.done) = (held.went_on + 1, held.tokens);
+        true
+    }
+
     /// An attempt has ended with a known outcome; `last` where that ended its sequence.
     pub fn closed(
         &mut self,
@@ -338,7 +367,7 @@
             Schedule::Send(server) => {
                 let limit = self.brain.wait(now, &held.seq).max(1);
                 self.counts.attempts += 1;
-                if let Some(dispatch) = dispatch(&self.types, &held.seq, server, limit) {
+                if let Some(dispatch) = dispatch(&self.types, held, server, limit) {
                     out.push(Action::Send(dispatch));
                 }
                 self.arm(id, now.saturating_add(limit));
@@ -353,6 +382,12 @@
                 }
                 return;
             }
+            // Its client has seen part of the answer: that is no rejection, whatever may run again.
+            Schedule::Rejected { release, .. } if held.went_on > 0 => {
+                self.counts.aborted += 1;
+                out.push(Action::Abort { id, reason: Reason::Broken });
+                release
+            }
             Schedule::Rejected { retry_after, release } => {
                 self.counts.rejected += 1;
                 let reason = given_up(now, &held.seq, why);
@@ -428,7 +463,9 @@
         let began = status == Status::Streaming;
         // A stalled client is no word against its writer.
         let ending = if reason == Reason::Stalled { Ending::Cancelled } else { Ending::TimedOut };
-        let over = began && (held.relay == Relay::Streamed || now >= held.ends_by);
+        let streamed = held.relay == Relay::Streamed;
+        let late = now >= held.ends_by || reason == Reason::Stalled;
+        let over = began && (late || (streamed && !self.goes_on(now, id)));
         self.settle(now, id, attempt, ending.outcome(began), over, over.then_some(reason), out);
     }
 
@@ -496,7 +533,8 @@
     }
 }
 
-fn dispatch(types: &[TrafficType], seq: &Sequence, server: ServerId, limit: Nanos) -> Option<Dispatch> {
+fn dispatch(types: &[TrafficType], held: &Held, server: ServerId, limit: Nanos) -> Option<Dispatch> {
+    let seq = &held.seq;
     let attempt = seq.attempts.len().checked_sub(1)?;
     let step = seq.attempts[attempt].step;
     let writes = matches!(step, Step::Write | Step::Move);
@@ -507,6 +545,7 @@
         step,
         reader: seq.state.map(|(reader, _)| reader).filter(|_| writes),
         limit,
+        done: held.done,
         connect_within: pace::connect_within(limit),
         fresh: step != Step::Read && types[seq.traffic.0].effect == Effect::OnceOnly,
     })
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -4,12 +4,13 @@
 //! bench's adapter and the gateway are two such shells. Where to send and what follows an outcome is asked of
 //! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
-//! may be silent or stalled ([`pace`]), what a request is to the decisions ([`intake`]), which connection it rides on
+//! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the decisions ([`intake`]), which connection it rides on
 //! ([`connections`]), which states are still to be let go ([`releases`]), and what a repeated request is told
 //! ([`replays`]).
 
 pub mod conductor;
 pub mod connections;
+pub mod continuation;
 pub mod doors;
 pub mod intake;
 pub mod limits;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use petrelshore_conductor::proof::Ending;
 use petrelshore_conductor::releases::{Release, Releases};
 use petrelshore_conductor::replays::{self, Ended, Known, Replays};
-use petrelshore_conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, pace};
+use petrelshore_conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay, pace};
 use petrelshore_engine::{Client, Held, Load, Piece, Spawner, Usage, WriteRequest};
 use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
 use petrelshore_settings::Settings;
@@ -63,8 +63,10 @@
     states: Vec<(ServerId, String, Held)>,
     finish: Option<String>,
     usage: Usage,
-    /// Its whole text so far, where a repeat may ask for it.
+    /// Its whole text so far, where a repeat may ask for it or a break be gone on from.
     gathered: Option<String>,
+    /// Tokens that earlier attempts had brought when the present one was sent.
+    done: u32,
     /// Something of it may have taken effect.
     may_have_run: bool,
     /// The front has let go of its answer.
@@ -202,7 +204,9 @@
             });
         }
         inner.last_id.set(id.0);
-        let gathered = key.is_some().then(String::new);
+        let may_go_on = inner.settings.traffic[ask.traffic.0].effect == Effect::Repeatable
+            && ask.relay == Relay::Streamed;
+        let gathered = (key.is_some() || may_go_on).then(String::new);
         let (texts, receiver) = async_channel::bounded(TEXTS);
         let new = NewSequence {
             id,
@@ -227,6 +231,7 @@
             finish: None,
             usage: Usage::default(),
             gathered,
+            done: 0,
             may_have_run: false,
             left: false,
         };
@@ -362,12 +367,17 @@
         let ask = &ticket.ask;
         let tokened = matches!(self.settings.traffic[ask.traffic.0].effect, Effect::Tokened { .. });
         let own_key: Option<Rc<str>> = tokened.then(|| Rc::from(format!("{:016x}", dispatch.id.0)));
+        let prompt = match &ticket.gathered {
+            Some(gathered) if dispatch.done > 0 => Rc::from(format!("{}{gathered}", ask.prompt)),
+            _ => ask.prompt.clone(),
+        };
+        ticket.done = dispatch.done;
         let request = WriteRequest {
             to,
             request_id: request_id(dispatch.id, dispatch.attempt),
             model: ask.model.clone(),
-            prompt: ask.prompt.clone(),
-            max_tokens: ask.max_tokens,
+            prompt,
+            max_tokens: ask.max_tokens.saturating_sub(dispatch.done).max(1),
             stop: ask.stop.clone(),
             sampling: ask.sampling.clone(),
             idempotency_key: ask.idempotency_key.clone().filter(|_| tokened).or(own_key),
@@ -585,7 +595,13 @@
                 let tickets = self.tickets.borrow();
                 let Some(ticket) = tickets.get(&id) else { return };
                 let finish = ticket.finish.clone().unwrap_or_else(|| "stop".to_owned());
-                Final::Generated { finish, usage: ticket.usage }
+                // A stream that went on after a break had its first part read as prompt.
+                let done = u64::from(ticket.done);
+                let usage = Usage {
+                    prompt_tokens: ticket.usage.prompt_tokens.saturating_sub(done),
+                    completion_tokens: ticket.usage.completion_tokens + done,
+                };
+                Final::Generated { finish, usage }
             }
             _ => Final::Aborted { reason: reason.unwrap_or(Reason::Broken) },
         };
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -309,7 +309,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Answer::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Answer::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
             Answer::Stream(_) => SizeHint::default(),
         }
     }
