--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -62,6 +62,9 @@
         /// Write all that passed there, a JSON line each
         #[arg(long)]
         record: Option<PathBuf>,
+        /// Let the gateways take any server by chance, to compare with
+        #[arg(long)]
+        baseline: bool,
     },
     /// Run one stand-in model server
     StandIn {
@@ -131,7 +134,7 @@
         What::Serve { settings } => serve::serve(&settings),
         What::Check { settings } => serve::check(&settings),
         What::Try { listen } => trial::try_out(listen),
-        What::Rehearse { script, record } => trial::rehearse(&script, record.as_deref()),
+        What::Rehearse { script, record, baseline } => trial::rehearse(&script, record.as_deref(), baseline),
         What::StandIn { role, listen, name, cold, slots, token_ms } => {
             trial::stand_in(role, listen, &name, cold, slots, token_ms)
         }
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -4,6 +4,7 @@
 use async_signal::{Signal, Signals};
 use clap::ValueEnum;
 use futures_lite::{StreamExt, future};
+use petrelshore_gateway::Chooser;
 use petrelshore_rehearsal::rehearse::Outcome;
 use petrelshore_rehearsal::{fleet, load, rehearse, script};
 use petrelshore_stand_in::model::{Build, Role};
@@ -82,12 +83,13 @@
 }
 
 /// Plays a script and prints its figures. An error where a rule was broken or something was left behind.
-pub fn rehearse(file: &Path, record: Option<&Path>) -> Result<(), String> {
+pub fn rehearse(file: &Path, record: Option<&Path>, baseline: bool) -> Result<(), String> {
     let script = script::read(file).map_err(|problem| problem.to_string())?;
     let folder = std::env::temp_dir().join(format!("petrelshore-rehearse-{}", std::process::id()));
     let executor = Rc::new(LocalExecutor::new());
     println!("rehearsing {}: {} s and what follows", script.name, script.lasts_ms / 1e3);
-    let run = rehearse::rehearse(&executor, &folder, &script, "", |line| println!("{line}"));
+    let chooser = if baseline { Chooser::Baseline } else { Chooser::Decisions };
+    let run = rehearse::rehearse(&executor, &folder, &script, "", chooser, |line| println!("{line}"));
     let outcome = future::block_on(executor.run(run));
     let _ = std::fs::remove_dir_all(&folder);
     let outcome = outcome?;
--- /dev/null
+++ b/cli/tests/daemon.rs
@@ -0,0 +1,191 @@
+//! The command as a process: start, reload, stop, and what it says when it can't.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// A process that is ended with its test, by its own id.
+struct Running {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn petrelshore(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_petrelshore"));
+    command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// Starts a process and reads the address off its ready line.
+fn start(arguments: &[&str]) -> Running {
+    let mut child = petrelshore(arguments).stderr(Stdio::null()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let ready = lines.next().unwrap().unwrap();
+    let word = ready.split([' ', ',']).find(|word| word.parse::<SocketAddr>().is_ok());
+    let address = word.unwrap_or_else(|| panic!("no address in '{ready}'")).parse().unwrap();
+    std::thread::spawn(move || lines.for_each(drop));
+    Running { child, address }
+}
+
+fn signal(running: &Running, name: &str) {
+    let status = Command::new("kill").args([name, &running.child.id().to_string()]).status().unwrap();
+    assert!(status.success());
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("petrelshore-daemon-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn write_settings(folder: &Path, drain: &str) -> String {
+    let text = format!(
+        r#"{{
+      name = "gw", zone = "here", listen.chat = "127.0.0.1:0",
+      inventory = {{ file = "boxes.csv", kept = "last.json" }},
+      kinds.mixed = {{ role = 'mixed, memory_tokens = 100000 }},
+      traffic.ask = {{ models = ["ask"], utility = 1, latency_slo = "2s", abandon_time = "8s" }},
+      open = true, drain_time = "{drain}",
+    }}"#
+    );
+    let file = folder.join("gateway.ncl");
+    std::fs::write(&file, text).unwrap();
+    file.to_str().unwrap().to_owned()
+}
+
+fn write_list(folder: &Path, servers: &[(&str, SocketAddr)]) {
+    let rows: String = servers.iter().map(|(name, at)| format!("{name},mixed,{at},here\n")).collect();
+    std::fs::write(folder.join("boxes.csv"), format!("name,kind,address,zone\n{rows}")).unwrap();
+}
+
+/// Asks for a stream and returns the open socket.
+fn ask(to: SocketAddr, tokens: u32) -> TcpStream {
+    let body = format!(
+        r#"{{"model":"ask","stream":true,"max_tokens":{tokens},"messages":[{{"role":"user","content":"why"}}]}}"#
+    );
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all((head + &body).as_bytes()).unwrap();
+    stream
+}
+
+fn rest(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    text
+}
+
+fn ended(running: &mut Running) -> Option<i32> {
+    let until = Instant::now() + Duration::from_secs(30);
+    while Instant::now() < until {
+        if let Some(status) = running.child.try_wait().unwrap() {
+            return status.code();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    None
+}
+
+fn stand_in(name: &str, token_ms: &str) -> Running {
+    start(&["stand-in", "--role", "mixed", "--name", name, "--token-ms", token_ms])
+}
+
+#[test]
+fn a_term_lets_running_streams_end_and_turns_new_ones_away() {
+    let folder = folder("term");
+    let server = stand_in("one", "20");
+    write_list(&folder, &[("one", server.address)]);
+    let mut gateway = start(&["serve", &write_settings(&folder, "20s")]);
+    let mut stream = ask(gateway.address, 30);
+    let mut first = [0u8; 1];
+    stream.read_exact(&mut first).unwrap();
+    signal(&gateway, "-TERM");
+    std::thread::sleep(Duration::from_millis(150));
+    let late = rest(ask(gateway.address, 3));
+    assert!(late.contains("503") && late.contains("draining") && late.contains("retry-after"), "{late}");
+    let text = rest(stream);
+    assert!(text.contains("t30 ") && text.contains("[DONE]"), "{text}");
+    assert_eq!(ended(&mut gateway), Some(0));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn streams_past_the_drain_time_are_answered_before_the_end() {
+    let folder = folder("drain");
+    let server = stand_in("one", "100");
+    write_list(&folder, &[("one", server.address)]);
+    let mut gateway = start(&["serve", &write_settings(&folder, "300ms")]);
+    let mut stream = ask(gateway.address, 900);
+    let mut first = [0u8; 1];
+    stream.read_exact(&mut first).unwrap();
+    signal(&gateway, "-TERM");
+    let text = rest(stream);
+    assert!(text.contains("\"code\":\"aborted\"") && !text.contains("[DONE]"), "{text}");
+    assert_eq!(ended(&mut gateway), Some(0));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_hup_reloads_the_list_without_dropping_a_stream_and_a_bad_list_changes_nothing() {
+    let folder = folder("hup");
+    let (old, new) = (stand_in("old", "20"), stand_in("new", "5"));
+    write_list(&folder, &[("old", old.address)]);
+    let gateway = start(&["serve", &write_settings(&folder, "5s")]);
+    let mut stream = ask(gateway.address, 60);
+    let mut first = [0u8; 1];
+    stream.read_exact(&mut first).unwrap();
+    write_list(&folder, &[("new", new.address)]);
+    signal(&gateway, "-HUP");
+    let text = rest(stream);
+    assert!(text.contains("t60 ") && text.contains("[DONE]"), "{text}");
+    drop(old);
+    // Only the new one is left, and it is cold: the first answers come as its part allows.
+    let served = || (0..20).any(|_| rest(ask(gateway.address, 3)).contains("[DONE]"));
+    assert!(served());
+    std::fs::write(folder.join("boxes.csv"), "name,kind,address,zone\nnew,mixed,127.0").unwrap();
+    signal(&gateway, "-HUP");
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(served());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_bad_start_says_why_in_a_line_and_fails() {
+    let folder = folder("bad");
+    let file = write_settings(&folder, "5s");
+    let run = |arguments: &[&str]| -> (Option<i32>, String) {
+        let Output { status, stderr, .. } = petrelshore(arguments).output().unwrap();
+        (status.code(), String::from_utf8(stderr).unwrap())
+    };
+    let (code, said) = run(&["serve", &file]);
+    assert!(code == Some(1) && said.contains("boxes.csv"), "{said}");
+    write_list(&folder, &[("one", "127.0.0.1:9".parse().unwrap())]);
+    let (code, said) = run(&["check", &file]);
+    assert_eq!(code, Some(0), "{said}");
+    std::fs::write(folder.join("boxes.csv"), "name,kind,address,zone\none,mixed,there,here\n").unwrap();
+    let (code, said) = run(&["check", &file]);
+    assert!(code == Some(1) && said.contains("boxes.csv:2: field address"), "{said}");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    write_list(&folder, &[("one", "127.0.0.1:9".parse().unwrap())]);
+    let text = std::fs::read_to_string(&file).unwrap().replace("127.0.0.1:0", &address);
+    std::fs::write(&file, text).unwrap();
+    let (code, said) = run(&["serve", &file]);
+    assert!(code == Some(1) && said.contains(&address), "{said}");
+    let (code, said) = run(&["serve", "/nowhere.ncl"]);
+    assert!(code == Some(1) && said.lines().count() == 1 && said.contains("/nowhere.ncl"), "{said}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -2,8 +2,8 @@
 
 use crate::continuation::{BrokenStream, go_on};
 use crate::pace;
+use crate::policy::{Chooser, Policy};
 use crate::proof::Ending;
-use petrelshore::Brain;
 use petrelshore::interface::*;
 use std::collections::{BTreeSet, HashMap};
 
@@ -147,7 +147,7 @@
 const NEVER: Nanos = Nanos::MAX;
 
 pub struct Conductor {
-    brain: Brain,
+    brain: Policy,
     types: Vec<TrafficType>,
     held: HashMap<SeqId, Held>,
     timers: BTreeSet<(Nanos, SeqId)>,
@@ -157,9 +157,14 @@
 
 impl Conductor {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
+        Self::with(now, deployment, seed, Chooser::Decisions)
+    }
+
+    /// A conductor that asks another policy.
+    pub fn with(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         Conductor {
             types: deployment.types.clone(),
-            brain: Brain::new(now, deployment, seed),
+            brain: Policy::new(now, deployment, seed, chooser),
             held: HashMap::new(),
             timers: BTreeSet::new(),
             draining: false,
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -7,6 +7,7 @@
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the decisions ([`intake`]), which connection it rides on
 //! ([`connections`]), which states are still to be let go ([`releases`]), and what a repeated request is told
 //! ([`replays`]).
+//! [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
 
 pub mod conductor;
 pub mod connections;
@@ -15,8 +16,11 @@
 pub mod intake;
 pub mod limits;
 pub mod pace;
+pub mod policy;
 pub mod proof;
 pub mod releases;
 pub mod replays;
+pub mod terms;
 
 pub use conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay};
+pub use policy::Chooser;
--- /dev/null
+++ b/conductor/src/policy.rs
@@ -0,0 +1,211 @@
+//! Who is asked: the decisions, or a plain baseline to compare them with.
+//!
+//! The baseline takes any server that does the step, by chance. It keeps rules 1, 2, 3 and 5 in the plainest way and
+//! knows nothing of load, cells, health or cold servers. It is for rehearsals: nothing in a settings file names it.
+
+use oorandom::Rand64;
+use petrelshore::Brain;
+use petrelshore::interface::*;
+use std::collections::BTreeMap;
+
+/// Which policy a conductor asks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Chooser {
+    #[default]
+    Decisions,
+    Baseline,
+}
+
+pub enum Policy {
+    Decisions(Box<Brain>),
+    Baseline(Baseline),
+}
+
+impl Policy {
+    pub fn new(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
+        match chooser {
+            Chooser::Decisions => Policy::Decisions(Box::new(Brain::new(now, deployment, seed))),
+            Chooser::Baseline => Policy::Baseline(Baseline::new(deployment, seed)),
+        }
+    }
+
+    pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
+        match self {
+            Policy::Decisions(brain) => brain.listed(now, scope, entries),
+            Policy::Baseline(baseline) => baseline.listed(scope, entries),
+        }
+    }
+
+    pub fn refused(&mut self) -> Nanos {
+        match self {
+            Policy::Decisions(brain) => brain.refused(),
+            Policy::Baseline(baseline) => baseline.deployment.ask_within / 2,
+        }
+    }
+
+    pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
+        if let Policy::Decisions(brain) = self {
+            brain.reported(now, server, report);
+        }
+    }
+
+    pub fn schedule(&mut self, now: Nanos, seq: &mut Sequence) -> Schedule {
+        match self {
+            Policy::Decisions(brain) => brain.schedule(now, seq),
+            Policy::Baseline(baseline) => baseline.schedule(now, seq),
+        }
+    }
+
+    pub fn settle(&mut self, now: Nanos, seq: &mut Sequence, n: usize, got: Outcome, last: bool) -> Settled {
+        match self {
+            Policy::Decisions(brain) => brain.settle(now, seq, n, got, last),
+            Policy::Baseline(_) => Baseline::settle(now, seq, n, got, last),
+        }
+    }
+
+    pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
+        match self {
+            Policy::Decisions(brain) => brain.wait(now, seq),
+            Policy::Baseline(baseline) => baseline.wait(now, seq),
+        }
+    }
+
+    pub fn began(&mut self, now: Nanos, seq: &mut Sequence, n: usize) {
+        match self {
+            Policy::Decisions(brain) => brain.began(now, seq, n),
+            Policy::Baseline(_) => {
+                if let Some(attempt) = seq.attempts.get_mut(n) {
+                    (attempt.status, seq.state) = (Status::Streaming, None);
+                }
+            }
+        }
+    }
+}
+
+/// Pause before the baseline looks again, and the time before its client's end at which it gives up.
+const RECHECK: Nanos = 20_000_000;
+
+/// Any server by chance.
+pub struct Baseline {
+    deployment: Deployment,
+    chance: Rand64,
+    servers: BTreeMap<ServerId, Listing>,
+}
+
+impl Baseline {
+    fn new(deployment: Deployment, seed: u64) -> Self {
+        Baseline { deployment, chance: Rand64::new(seed.into()), servers: BTreeMap::new() }
+    }
+
+    fn listed(&mut self, scope: ListScope, entries: &[Listing]) {
+        if scope != ListScope::Changes {
+            self.servers.clear();
+        }
+        self.servers.extend(entries.iter().map(|entry| (entry.server, entry.clone())));
+    }
+
+    fn schedule(&mut self, now: Nanos, seq: &mut Sequence) -> Schedule {
+        if seq.ended || seq.attempts.iter().any(|a| !matches!(a.status, Status::Closed(_))) {
+            return Schedule::NotYet;
+        }
+        let effect = self.deployment.types[seq.traffic.0].effect;
+        let spent = seq.attempts.len() >= self.deployment.max_attempts;
+        let may_repeat = effect == Effect::Repeatable || !may_have_run(seq);
+        if now + RECHECK >= seq.abandon_at || spent || !may_repeat {
+            return Self::give_up(seq, may_repeat);
+        }
+        let state = seq.state.filter(|(reader, since)| {
+            let listed = self.servers.get(reader);
+            listed.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
+        });
+        let picked = match state {
+            Some((reader, _)) => self.any(|role| role != Role::Reader).map(|writer| {
+                let cell = |id| self.servers.get(&id).map(|l| l.cell);
+                (writer, if cell(writer) == cell(reader) { Step::Write } else { Step::Move })
+            }),
+            None if seq.attempts.len() + 2 > self.deployment.max_attempts => None,
+            None => self.any(|role| role != Role::Writer).map(|server| {
+                let reads = self.role(&self.servers[&server]) == Role::Reader;
+                (server, if reads { Step::Read } else { Step::Whole })
+            }),
+        };
+        let held_until = |since: Nanos| since + self.deployment.release_within / 2;
+        match picked {
+            Some((server, step)) => {
+                let tokens = seq.prompt_tokens;
+                seq.admitted = true;
+                seq.attempts.push(Attempt {
+                    server,
+                    sent: now,
+                    step,
+                    status: Status::Out,
+                    tokens,
+                    credit: 0.0,
+                });
+                Schedule::Send(server)
+            }
+            None if seq.state.is_none_or(|(_, since)| now + RECHECK < held_until(since)) => Schedule::NotYet,
+            None => Self::give_up(seq, true),
+        }
+    }
+
+    fn give_up(seq: &mut Sequence, harmless: bool) -> Schedule {
+        let release = !seq.attempts.is_empty();
+        (seq.ended, seq.state) = (true, None);
+        match harmless {
+            true => Schedule::Rejected { retry_after: None, release },
+            false => Schedule::Aborted { release },
+        }
+    }
+
+    fn settle(now: Nanos, seq: &mut Sequence, n: usize, got: Outcome, last: bool) -> Settled {
+        let Some(attempt) = seq.attempts.get_mut(n).filter(|a| !matches!(a.status, Status::Closed(_))) else {
+            return Settled::Wait;
+        };
+        attempt.status = Status::Closed(got);
+        let server = attempt.server;
+        if last || seq.ended {
+            seq.ended = true;
+            return Settled::Ended { release: got != Outcome::Generated };
+        }
+        match got {
+            Outcome::ReadDone { .. } => seq.state = Some((server, now)),
+            Outcome::NoState => seq.state = None,
+            _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
+        }
+        Settled::Schedule
+    }
+
+    fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
+        let left = seq.abandon_at.saturating_sub(now);
+        match seq.attempts.last().filter(|a| a.status == Status::Out) {
+            None => RECHECK.min(left),
+            Some(attempt) if attempt.step != Step::Read && !self.repeatable(seq) => left,
+            Some(_) => left / 2,
+        }
+    }
+
+    fn repeatable(&self, seq: &Sequence) -> bool {
+        self.deployment.types[seq.traffic.0].effect == Effect::Repeatable
+    }
+
+    fn role(&self, listing: &Listing) -> Role {
+        self.deployment.kinds[listing.kind.0].role
+    }
+
+    fn any(&mut self, does: impl Fn(Role) -> bool) -> Option<ServerId> {
+        let open = self.servers.values().filter(|l| l.condition == Condition::Ready && does(self.role(l)));
+        let open: Vec<ServerId> = open.map(|l| l.server).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let picked = self.chance.rand_range(0..open.len() as u64) as usize;
+        open.get(picked).copied()
+    }
+}
+
+fn may_have_run(seq: &Sequence) -> bool {
+    use Outcome::*;
+    let proven = |a: &Attempt| matches!(a.status, Status::Closed(Full | NoState | ConnectFailed | NeverSent));
+    seq.attempts.iter().any(|attempt| attempt.step != Step::Read && !proven(attempt))
+}
--- /dev/null
+++ b/conductor/src/terms.rs
@@ -0,0 +1,141 @@
+//! Whether settings can keep the rules at all. Checked before anything starts, each finding with the rule it breaks.
+
+use crate::pace;
+use petrelshore::interface::{Deployment, Effect, Nanos, Role, Scope, TypeId};
+use std::fmt;
+
+/// A state needs two looks of the conductor, and an answer of its reader, to be let go in time.
+const RELEASE_LEAST: Nanos = 100_000_000;
+/// A client's time must hold a read and a write, with a connection each, and the way back.
+const ABANDON_LEAST: Nanos = 100_000_000;
+
+/// A setting that can't hold. `rule` is the one of the five that it would break; none where it breaks service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    pub rule: Option<u8>,
+    pub about: About,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum About {
+    /// A client's time is too short for any answer.
+    AbandonTooShort {
+        traffic: TypeId,
+        least: Nanos,
+    },
+    /// Every answer in time would be late.
+    AbandonBeforeSlo {
+        traffic: TypeId,
+    },
+    /// The group forgets a mark while an attempt with it may still be sent.
+    WindowTooShort {
+        traffic: TypeId,
+        needed: Nanos,
+    },
+    /// Repeats are known in a cell or zone only, and a client may come back anywhere.
+    NothingReads,
+    NothingWrites,
+    TooFewAttempts {
+        least: usize,
+    },
+    ReleaseTooShort {
+        least: Nanos,
+    },
+    /// The bound for a cold server leaves it nothing, or is none.
+    ColdPart {
+        multiple: f64,
+        from: f64,
+    },
+    /// A time to come back that is longer than a client waits in all.
+    ComeBackTooLate {
+        longest: Nanos,
+        shortest_abandon: Nanos,
+    },
+}
+
+impl fmt::Display for About {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |nanos: &Nanos| nanos / 1_000_000;
+        match self {
+            About::AbandonTooShort { least, .. } => {
+                write!(f, "must be {} ms at the least, for a read, a write and the way back", ms(least))
+            }
+            About::AbandonBeforeSlo { .. } => {
+                f.write_str("must be longer than latency_slo, or every late answer is lost")
+            }
+            About::WindowTooShort { needed, .. } => write!(
+                f,
+                "must be {} ms at the least: an attempt may be sent until abandon_time, and its group must still \
+                 know the first one then",
+                ms(needed)
+            ),
+            About::NothingReads => f.write_str("names nothing that reads prompts"),
+            About::NothingWrites => f.write_str("names nothing that writes answers"),
+            About::TooFewAttempts { least } => {
+                write!(f, "must be {least} at the least: one to read, one to write")
+            }
+            About::ReleaseTooShort { least } => {
+                write!(f, "must be {} ms at the least for a state to be let go in time", ms(least))
+            }
+            About::ColdPart { multiple, from } => write!(
+                f,
+                "a server that starts at {from} of its capacity and falls over at {multiple} times that can be sent \
+                 nothing"
+            ),
+            About::ComeBackTooLate { longest, shortest_abandon } => write!(
+                f,
+                "{} ms is longer than ten times what the quickest clients wait, {} ms: they would be gone",
+                ms(longest),
+                ms(shortest_abandon)
+            ),
+        }
+    }
+}
+
+/// All that is wrong with a deployment whose types have these abandon times.
+pub fn check(deployment: &Deployment, abandon_times: &[Nanos]) -> Vec<Finding> {
+    let mut found = Vec::new();
+    let mut say = |rule, about| found.push(Finding { rule, about });
+    for (index, (traffic, abandon)) in deployment.types.iter().zip(abandon_times).enumerate() {
+        let (id, abandon) = (TypeId(index), *abandon);
+        if abandon < ABANDON_LEAST {
+            say(Some(1), About::AbandonTooShort { traffic: id, least: ABANDON_LEAST });
+        } else if abandon <= traffic.latency_slo {
+            say(None, About::AbandonBeforeSlo { traffic: id });
+        }
+        if let Effect::Tokened { window, scope } = traffic.effect {
+            // Repeats by the gateway end at its own give-up time; a client's own come later, to any server.
+            let needed = match scope {
+                Scope::All => abandon.saturating_mul(2),
+                Scope::Zone | Scope::Cell => pace::give_up_at(0, abandon),
+            };
+            if window < needed {
+                say(Some(2), About::WindowTooShort { traffic: id, needed });
+            }
+        }
+    }
+    let roles = |wanted: &[Role]| deployment.kinds.iter().any(|kind| wanted.contains(&kind.role));
+    if !roles(&[Role::Reader, Role::Mixed]) && !deployment.writers_read {
+        say(None, About::NothingReads);
+    }
+    if !roles(&[Role::Writer, Role::Mixed]) {
+        say(None, About::NothingWrites);
+    }
+    if deployment.max_attempts < 2 {
+        say(None, About::TooFewAttempts { least: 2 });
+    }
+    if deployment.release_within < RELEASE_LEAST {
+        say(Some(5), About::ReleaseTooShort { least: RELEASE_LEAST });
+    }
+    let (multiple, from) = (deployment.cold_multiple, deployment.cold_from);
+    if multiple * from <= 0.0 || multiple < 1.0 {
+        say(Some(4), About::ColdPart { multiple, from });
+    }
+    let shortest = abandon_times.iter().copied().min().unwrap_or(Nanos::MAX);
+    if let Some(longest) =
+        deployment.longest_retry_after.filter(|longest| *longest > shortest.saturating_mul(10))
+    {
+        say(None, About::ComeBackTooLate { longest, shortest_abandon: shortest });
+    }
+    found
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use petrelshore_conductor::proof::Ending;
 use petrelshore_conductor::releases::{Release, Releases};
 use petrelshore_conductor::replays::{self, Ended, Known, Replays};
-use petrelshore_conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay, pace};
+use petrelshore_conductor::{Action, Chooser, Conductor, Counts, Dispatch, NewSequence, Reason, Relay, pace};
 use petrelshore_engine::{Client, Held, Load, Piece, Spawner, Usage, WriteRequest};
 use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
 use petrelshore_settings::Settings;
@@ -103,13 +103,22 @@
     /// Starts a gateway from its settings and its list: the inventory where it is good, else the list kept by an
     /// earlier run. Its tasks run where `spawner` says.
     pub fn start(settings: Settings, spawner: Spawner) -> Result<Gateway, ReloadError> {
+        Self::start_with(settings, spawner, Chooser::Decisions)
+    }
+
+    /// Starts a gateway that asks another policy.
+    pub fn start_with(
+        settings: Settings,
+        spawner: Spawner,
+        chooser: Chooser,
+    ) -> Result<Gateway, ReloadError> {
         let clock = Clock::start();
         let now = clock.now();
         let seed = settings.seed(now);
         let membership = Membership::new(&settings.kinds, &settings.zone);
         let inner = Inner {
             client: Client::new(spawner.clone(), &settings.name),
-            conductor: RefCell::new(Conductor::new(now, settings.deployment.clone(), seed)),
+            conductor: RefCell::new(Conductor::with(now, settings.deployment.clone(), seed, chooser)),
             membership: RefCell::new(membership),
             addresses: RefCell::default(),
             room: RefCell::new(Room::new(now, settings.limits.sequences)),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,4 +12,5 @@
 pub use clock::Clock;
 pub use gateway::{Gateway, ReloadError};
 pub use petrelshore::interface::Effect;
+pub use petrelshore_conductor::Chooser;
 pub use petrelshore_engine::{Spawner, Usage};
--- a/rehearsal/src/fleet.rs
+++ b/rehearsal/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use async_executor::{LocalExecutor, Task};
 use petrelshore_chat as chat;
-use petrelshore_gateway::{Gateway, Spawner};
+use petrelshore_gateway::{Chooser, Gateway, Spawner};
 use petrelshore_settings::read_text;
 use petrelshore_stand_in::model::{Build, Role};
 use petrelshore_stand_in::record::{Passed, Record};
@@ -169,6 +169,16 @@
 impl Running {
     /// Starts a gateway from a settings text, its files in `folder`.
     pub async fn start(executor: &Executor, folder: &Path, text: &str) -> Result<Running, String> {
+        Self::start_with(executor, folder, text, Chooser::Decisions).await
+    }
+
+    /// The same with another policy.
+    pub async fn start_with(
+        executor: &Executor,
+        folder: &Path,
+        text: &str,
+        chooser: Chooser,
+    ) -> Result<Running, String> {
         let said = |problems: Vec<petrelshore_settings::Problem>| {
             problems.iter().map(|problem| problem.to_string()).collect::<Vec<_>>().join("\n")
         };
@@ -178,7 +188,8 @@
         let listening = chat::bind(settings.chat).await.map_err(|error| error.to_string())?;
         let address = listening.address;
         let name = settings.name.clone();
-        let gateway = Gateway::start(settings, Spawner::new(&own)).map_err(|error| error.to_string())?;
+        let gateway =
+            Gateway::start_with(settings, Spawner::new(&own), chooser).map_err(|error| error.to_string())?;
         let serving = chat::serve(listening, gateway.clone());
         let driver = executor.spawn(async move { own.run(serving).await });
         Ok(Running { name, gateway, address, driver })
--- a/rehearsal/src/rehearse.rs
+++ b/rehearsal/src/rehearse.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use hdrhistogram::Histogram;
 use oorandom::Rand64;
+use petrelshore_gateway::Chooser;
 use petrelshore_settings::Settings;
 use petrelshore_stand_in::model::Build;
 use petrelshore_stand_in::record::{Entry, FinalSeen, Nanos, Passed, Record};
@@ -43,6 +44,7 @@
     gateways: RefCell<Vec<Option<Running>>>,
     addresses: RefCell<Vec<SocketAddr>>,
     names: Vec<String>,
+    chooser: Chooser,
     settings: Settings,
     next_client: Cell<u64>,
     tries: RefCell<Vec<Tried>>,
@@ -62,6 +64,7 @@
     folder: &Path,
     script: &Script,
     more: &str,
+    chooser: Chooser,
     say: impl Fn(String),
 ) -> Result<Outcome, String> {
     let shape = Shape {
@@ -86,7 +89,7 @@
     let mut running = Vec::new();
     for name in &names {
         let text = settings_text(name, count, "127.0.0.1:0", &more);
-        running.push(Some(Running::start(executor, folder, &text).await?));
+        running.push(Some(Running::start_with(executor, folder, &text, chooser).await?));
     }
     let addresses: Vec<SocketAddr> = running.iter().flatten().map(|running| running.address).collect();
     let settings = running.iter().flatten().next().map(|running| running.gateway.settings().clone());
@@ -95,6 +98,7 @@
         gateways: RefCell::new(running),
         addresses: RefCell::new(addresses),
         names,
+        chooser,
         settings: settings.ok_or("a rehearsal needs a gateway")?,
         next_client: Cell::new(0),
         tries: RefCell::default(),
@@ -202,7 +206,7 @@
             Trouble::StartGateway => {
                 let address = play.addresses.borrow()[number].to_string();
                 let text = settings_text(&name, play.names.len(), &address, more);
-                let back = Running::start(executor, folder, &text).await?;
+                let back = Running::start_with(executor, folder, &text, play.chooser).await?;
                 play.gateways.borrow_mut()[number] = Some(back);
                 play.record.write(Passed::Back { gateway: name });
             }
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -5,6 +5,7 @@
 use nickel_lang_core::eval::cache::CacheImpl;
 use nickel_lang_core::program::{Program, ProgramBuilder};
 use petrelshore::interface::*;
+use petrelshore_conductor::terms::{self, About};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -69,7 +70,7 @@
     kept: String,
 }
 
-#[derive(Clone, Copy, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum RoleRecord {
     Reader,
@@ -183,6 +184,22 @@
     outcome.map_err(|what| Problem { file: file.to_owned(), field: None, what })
 }
 
+/// The field that a finding is about.
+fn place(about: &About, traffic: &[Traffic]) -> String {
+    let of = |id: &TypeId, field: &str| format!("traffic.{}.{field}", traffic[id.0].name);
+    match about {
+        About::AbandonTooShort { traffic, .. } | About::AbandonBeforeSlo { traffic } => {
+            of(traffic, "abandon_time")
+        }
+        About::WindowTooShort { traffic, .. } => of(traffic, "repeats.window"),
+        About::NothingReads | About::NothingWrites => "kinds".to_owned(),
+        About::TooFewAttempts { .. } => "attempts".to_owned(),
+        About::ReleaseTooShort { .. } => "release_within".to_owned(),
+        About::ColdPart { .. } => "cold".to_owned(),
+        About::ComeBackTooLate { .. } => "longest_retry_after".to_owned(),
+    }
+}
+
 /// Collects every problem, so that an operator mends a file once.
 struct Decoding<'a> {
     file: &'a Path,
@@ -236,9 +253,6 @@
         let at = |field: &str| format!("traffic.{name}.{field}");
         let latency_slo = d.time(&at("latency_slo"), &t.latency_slo);
         let abandon_time = d.time(&at("abandon_time"), &t.abandon_time);
-        if abandon_time <= latency_slo {
-            d.wrong(&at("abandon_time"), "must be longer than latency_slo, or every late answer is lost");
-        }
         let effect = match (t.effect, &t.repeats) {
             (EffectRecord::Tokened, Some(repeats)) => Effect::Tokened {
                 scope: match repeats.scope {
@@ -287,9 +301,6 @@
     if record.kinds.is_empty() {
         d.wrong("kinds", "names no kind of model server");
     }
-    if record.kinds.values().all(|k| k.role == RoleRecord::Reader) {
-        d.wrong("kinds", "names nothing that writes answers");
-    }
     let mut keys = BTreeMap::new();
     for (index, (name, tenant)) in record.tenants.iter().enumerate() {
         for key in &tenant.keys {
@@ -301,9 +312,6 @@
     if keys.is_empty() && !record.open {
         d.wrong("tenants", "nobody may call: name keys, or set open");
     }
-    if record.attempts < 2.0 {
-        d.wrong("attempts", "must be 2 at the least: one to read, one to write");
-    }
     let kinds = record.kinds.values().map(|kind| Kind {
         role: match kind.role {
             RoleRecord::Reader => Role::Reader,
@@ -331,6 +339,11 @@
         cold_multiple: record.cold.multiple,
         cold_window: d.time("cold.window", &record.cold.window).max(1),
     };
+    let abandon_times: Vec<Nanos> = traffic.iter().map(|t| t.abandon_time).collect();
+    for finding in terms::check(&deployment, &abandon_times) {
+        let broken = finding.rule.map_or(String::new(), |rule| format!(" (rule {rule} could not be kept)"));
+        d.wrong(&place(&finding.about, &traffic), format!("{}{broken}", finding.about));
+    }
     let folder = file.parent().unwrap_or(Path::new(""));
     let limits = Limits {
         sequences: record.limits.sequences as usize,
