Rehearsed cold restarts: how easily a box falls over is the script's to say

With the usual multiple a gateway that ignored cold servers altogether pushed nothing over in the cold-restart script, so it proved little. The script now names the multiple, for boxes and gateways alike.

--- a/conductor/src/policy.rs
+++ b/conductor/src/policy.rs
@@ -18,14 +18,14 @@
 
 pub enum Policy {
     Decisions(Box<Brain>),
-    Baseline(Baseline),
+    Baseline(Box<Baseline>),
 }
 
 impl Policy {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         match chooser {
             Chooser::Decisions => Policy::Decisions(Box::new(Brain::new(now, deployment, seed))),
-            Chooser::Baseline => Policy::Baseline(Baseline::new(deployment, seed)),
+            Chooser::Baseline => Policy::Baseline(Box::new(Baseline::new(deployment, seed))),
         }
     }
 
--- a/rehearsal/src/rehearse.rs
+++ b/rehearsal/src/rehearse.rs
@@ -78,13 +78,15 @@
         token_nanos: (script.fleet.token_ms * 1e6) as Nanos,
         read_tokens_per_second: script.fleet.read_tokens_per_second,
         cold_for: (script.fleet.cold_ms * 1e6) as Nanos,
+        cold_multiple: script.fleet.cold_multiple,
         ..usual_build(role)
     };
     let fleet = Fleet::start(executor.clone(), folder, &shape, build).await;
     let mut fleet = fleet.map_err(|error| error.to_string())?;
     let record = fleet.record.clone();
     let count = (script.gateways as usize).max(1);
-    let more = format!("cold.lasts = \"{}ms\", {more}", script.fleet.cold_ms);
+    let (lasts, multiple) = (script.fleet.cold_ms, script.fleet.cold_multiple);
+    let more = format!("cold.lasts = \"{lasts}ms\", cold.multiple = {multiple}, {more}");
     let names: Vec<String> = (1..=count).map(|number| format!("gw-{number}")).collect();
     let mut running = Vec::new();
     for name in &names {
--- a/rehearsal/src/script.rs
+++ b/rehearsal/src/script.rs
@@ -28,6 +28,7 @@
     pub token_ms: f64,
     pub read_tokens_per_second: f64,
     pub cold_ms: f64,
+    pub cold_multiple: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
