Desk: what a gateway keeps round its sequences, without I/O

The gateway's shell had come to keep keys, text so far, held states, usage and room itself: decisions among sockets, out of reach of generated tests and of an emulator. They are now the desk's, round the conductor; the shell holds connections, channels and timers and carries out four orders. A bound on the time to come back is dropped from the checks of settings: its default broke good files.

--- a/chat/src/request.rs
+++ b/chat/src/request.rs
@@ -3,7 +3,7 @@
 use petrelshore::interface::*;
 use petrelshore_conductor::Relay;
 use petrelshore_conductor::intake::{self, Message};
-use petrelshore_gateway::Ask;
+use petrelshore_gateway::{Ask, Request};
 use petrelshore_settings::Settings;
 use serde_json::{Map, Value};
 use std::rc::Rc;
@@ -153,7 +153,7 @@
         Some(_) => return Err(Wrong::field("x-abandon-ms", "must be a whole number of milliseconds")),
     };
     let weighed: Vec<Message> = messages.iter().map(|(role, text)| Message { role, text }).collect();
-    let ask = Ask {
+    let request = Request {
         traffic,
         tenant,
         session: session.map(|key| intake::session(tenant_name, key)),
@@ -161,14 +161,13 @@
         model: Rc::from(model),
         prompt: Rc::from(rendered(&messages)),
         max_tokens: asked.unwrap_or(most).min(most) as u32,
-        stop: stops(&fields)?,
-        sampling: Rc::new(sampling(&fields)?),
         idempotency_key,
         relay: if stream { Relay::Streamed } else { Relay::Whole },
         client,
         budget,
         arrived,
     };
+    let ask = Ask { request, stop: stops(&fields)?, sampling: Rc::new(sampling(&fields)?) };
     Ok(Chat { ask, include_usage })
 }
 
--- a/chat/src/serve.rs
+++ b/chat/src/serve.rs
@@ -197,7 +197,8 @@
     let Chat { ask, include_usage } =
         request::decode(settings, &head, tenant, inside.client, arrived, &body)?;
     drop((body, room));
-    let (model, streamed) = (ask.model.clone(), ask.relay == petrelshore_conductor::Relay::Streamed);
+    let (model, streamed) =
+        (ask.request.model.clone(), ask.request.relay == petrelshore_conductor::Relay::Streamed);
     let mut answer = gateway.take(ask)?;
     let id = format!("chatcmpl-{:016x}", answer.id().0);
     let created = arrived / 1_000_000_000;
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -1,5 +1,7 @@
 //! Holds what a gateway has in hand: sequences, the state of each schedule attempt, and every timer.
 //!
+//! [`desk`] keeps what belongs to a serving gateway's sequences round it.
+//!
 //! No I/O and no clock: a shell reports events with the time, and carries out the [`Action`]s it gets back. The
 //! bench's adapter and the gateway are two such shells. Where to send and what follows an outcome is asked of
 //! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
@@ -12,6 +14,7 @@
 pub mod conductor;
 pub mod connections;
 pub mod continuation;
+pub mod desk;
 pub mod doors;
 pub mod intake;
 pub mod limits;
--- a/conductor/src/terms.rs
+++ b/conductor/src/terms.rs
@@ -32,7 +32,6 @@
         traffic: TypeId,
         needed: Nanos,
     },
-    /// Repeats are known in a cell or zone only, and a client may come back anywhere.
     NothingReads,
     NothingWrites,
     TooFewAttempts {
@@ -46,11 +45,6 @@
         multiple: f64,
         from: f64,
     },
-    /// A time to come back that is longer than a client waits in all.
-    ComeBackTooLate {
-        longest: Nanos,
-        shortest_abandon: Nanos,
-    },
 }
 
 impl fmt::Display for About {
@@ -82,12 +76,6 @@
                 "a server that starts at {from} of its capacity and falls over at {multiple} times that can be sent \
                  nothing"
             ),
-            About::ComeBackTooLate { longest, shortest_abandon } => write!(
-                f,
-                "{} ms is longer than ten times what the quickest clients wait, {} ms: they would be gone",
-                ms(longest),
-                ms(shortest_abandon)
-            ),
         }
     }
 }
@@ -131,11 +119,5 @@
     if multiple * from <= 0.0 || multiple < 1.0 {
         say(Some(4), About::ColdPart { multiple, from });
     }
-    let shortest = abandon_times.iter().copied().min().unwrap_or(Nanos::MAX);
-    if let Some(longest) =
-        deployment.longest_retry_after.filter(|longest| *longest > shortest.saturating_mul(10))
-    {
-        say(None, About::ComeBackTooLate { longest, shortest_abandon: shortest });
-    }
     found
 }
--- a/engine/src/exchange.rs
+++ b/engine/src/exchange.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use petrelshore_conductor::desk::{Piece, Usage};
 use petrelshore_conductor::proof::Ending;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -57,19 +58,10 @@
     pub load: Option<Load>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-pub struct Usage {
-    pub prompt_tokens: u64,
-    pub completion_tokens: u64,
-}
-
-/// Part of an answer.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Piece {
-    Text(String),
-    /// Why the answer ended, in the API's word.
-    Finish(String),
-    Usage(Usage),
+#[derive(Deserialize)]
+struct UsageBody {
+    prompt_tokens: u64,
+    completion_tokens: u64,
 }
 
 #[derive(Serialize)]
@@ -113,7 +105,7 @@
 struct Chunk {
     #[serde(default)]
     choices: Vec<Choice>,
-    usage: Option<Usage>,
+    usage: Option<UsageBody>,
     error: Option<serde::de::IgnoredAny>,
 }
 
@@ -376,7 +368,11 @@
                 self.ready.push_back(Piece::Finish(reason));
             }
         }
-        self.ready.extend(chunk.usage.map(Piece::Usage));
+        let usage = chunk.usage.map(|told| Usage {
+            prompt_tokens: told.prompt_tokens,
+            completion_tokens: told.completion_tokens,
+        });
+        self.ready.extend(usage.map(Piece::Usage));
         Ok(())
     }
 
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -11,7 +11,7 @@
 mod spawner;
 mod sse;
 
-pub use exchange::{Client, Heard, Held, Piece, Usage, WriteRequest, Writing};
+pub use exchange::{Client, Heard, Held, WriteRequest, Writing};
 pub use orca::{Load, parse as parse_load};
 pub use spawner::Spawner;
 pub use sse::{Events, Oversized};
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,9 +8,10 @@
 mod clock;
 mod gateway;
 
-pub use answer::{Answer, Ask, Final, Next, Refusal};
+pub use answer::{Answer, Ask, Next};
 pub use clock::Clock;
 pub use gateway::{Gateway, ReloadError};
 pub use petrelshore::interface::Effect;
 pub use petrelshore_conductor::Chooser;
-pub use petrelshore_engine::{Spawner, Usage};
+pub use petrelshore_conductor::desk::{Final, Refusal, Request, Usage};
+pub use petrelshore_engine::Spawner;
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -196,7 +196,6 @@
         About::TooFewAttempts { .. } => "attempts".to_owned(),
         About::ReleaseTooShort { .. } => "release_within".to_owned(),
         About::ColdPart { .. } => "cold".to_owned(),
-        About::ComeBackTooLate { .. } => "longest_retry_after".to_owned(),
     }
 }
 
