--- a/chat/src/request.rs
+++ b/chat/src/request.rs
@@ -28,6 +28,8 @@
     pub authorization: Option<&'a str>,
     pub idempotency_key: Option<&'a str>,
     pub session: Option<&'a str>,
+    /// Names the traffic type, where one model serves several.
+    pub traffic: Option<&'a str>,
     /// The client gives up after so many milliseconds; it may only shorten what the traffic type allows.
     pub abandon_ms: Option<&'a str>,
 }
@@ -97,12 +99,18 @@
         Some(_) => return Err(Wrong::field("model", "'model' must be a string")),
         None => return Err(Wrong::field("model", "'model' is missing")),
     };
-    let traffic = settings.model(model).ok_or_else(|| Wrong {
+    let by_model = settings.model(model).ok_or_else(|| Wrong {
         status: 404,
         message: format!("the model '{}' does not exist here", shortened(model)),
         param: Some("model".to_owned()),
         code: Some("model_not_found"),
     })?;
+    let traffic = match head.traffic {
+        None => by_model,
+        Some(name) => settings.traffic_type(name).ok_or_else(|| {
+            Wrong::field("x-traffic-type", format!("'{}' is no traffic type here", shortened(name)))
+        })?,
+    };
     for name in UNMET {
         let asked = |value: &Value| match value {
             Value::Null | Value::Bool(false) => false,
--- a/chat/src/serve.rs
+++ b/chat/src/serve.rs
@@ -164,6 +164,7 @@
         authorization: text(headers, "authorization"),
         idempotency_key: text(headers, "idempotency-key"),
         session: text(headers, "x-session-id"),
+        traffic: text(headers, "x-traffic-type"),
         abandon_ms: text(headers, "x-abandon-ms"),
     }
 }
--- a/chat/tests/requests.rs
+++ b/chat/tests/requests.rs
@@ -128,7 +128,12 @@
         assert_eq!((status, &answer["error"]["code"]), (401, &json!("invalid_api_key")));
         let (status, ..) = front.post("authorization: Bearer other\r\n", good().to_string().as_bytes()).await;
         assert_eq!(status, 401);
-        for header in ["idempotency-key: \r\n", "x-abandon-ms: soon\r\n", "x-abandon-ms: 0\r\n"] {
+        for header in [
+            "x-traffic-type: nope\r\n",
+            "idempotency-key: \r\n",
+            "x-abandon-ms: soon\r\n",
+            "x-abandon-ms: 0\r\n",
+        ] {
             let (status, ..) = front.post(&format!("{KEY}{header}"), good().to_string().as_bytes()).await;
             assert_eq!(status, 400, "{header}");
         }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -60,6 +60,11 @@
         self.traffic.iter().position(|t| t.models.iter().any(|m| m == name)).map(TypeId)
     }
 
+    /// The traffic type of this name.
+    pub fn traffic_type(&self, name: &str) -> Option<TypeId> {
+        self.traffic.iter().position(|traffic| traffic.name == name).map(TypeId)
+    }
+
     /// Whose key it is.
     pub fn tenant(&self, key: &str) -> Option<TenantId> {
         self.keys.get(key).copied()
