--- a/cli/src/operator.rs
+++ b/cli/src/operator.rs
@@ -1,66 +1,91 @@
 //! Health and plain metrics, on a listener of their own.
 
-use async_net::{TcpListener, TcpStream};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use async_io::Timer;
+use async_net::TcpListener;
+use futures_lite::future;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::CONTENT_TYPE;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
 use petrelshore_gateway::Gateway;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use smol_hyper::rt::FuturesIo;
+use std::convert::Infallible;
 use std::time::Duration;
 
+/// Answers one connection at a time, each within this: nothing here may take the gateway's time.
 const WITHIN: Duration = Duration::from_secs(2);
-const REQUEST: usize = 2048;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Answers one request at a time: nothing here may take the gateway's time.
 pub async fn serve(listener: TcpListener, gateway: Gateway) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            async_io::Timer::after(Duration::from_millis(50)).await;
+            Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
+        let service = service_fn(|request| {
+            let response = answer(&request, &gateway);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let served = async {
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            let _ = builder.keep_alive(false).serve_connection(FuturesIo::new(stream), service).await;
+        };
         let late = async {
-            async_io::Timer::after(WITHIN).await;
+            Timer::after(WITHIN).await;
         };
-        future::or(answer(stream, &gateway), late).await;
+        future::or(served, late).await;
     }
 }
 
-async fn answer(mut stream: TcpStream, gateway: &Gateway) {
-    let mut request = [0u8; REQUEST];
-    let Ok(count) = stream.read(&mut request).await else { return };
-    let text = String::from_utf8_lossy(&request[..count]);
-    let (status, body) = match text.split_whitespace().nth(1) {
-        Some("/metrics") => ("200 OK", metrics(gateway)),
-        Some("/health") if gateway.draining() => ("503 Service Unavailable", "draining\n".to_owned()),
-        Some("/health") => ("200 OK", "ready\n".to_owned()),
-        _ => ("404 Not Found", "there are /health and /metrics here\n".to_owned()),
+fn answer(request: &Request<Incoming>, gateway: &Gateway) -> Response<Full<Bytes>> {
+    let (status, body) = match request.uri().path() {
+        "/metrics" => match metrics(gateway) {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        },
+        "/health" if gateway.draining() => (StatusCode::SERVICE_UNAVAILABLE, "draining\n".to_owned()),
+        "/health" => (StatusCode::OK, "ready\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "there are /health and /metrics here\n".to_owned()),
     };
-    let head = format!(
-        "HTTP/1.1 {status}\r\ncontent-type: text/plain; version=0.0.4\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    let _ = stream.write_all(head.as_bytes()).await;
-    let _ = stream.write_all(body.as_bytes()).await;
-    let _ = stream.close().await;
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let plain = hyper::header::HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
 }
 
-fn metrics(gateway: &Gateway) -> String {
+fn metrics(gateway: &Gateway) -> Result<String, std::fmt::Error> {
+    let mut registry = Registry::with_prefix("petrelshore");
     let counts = gateway.counts();
     let totals = [
-        ("sequences_taken", counts.taken),
-        ("sequences_generated", counts.generated),
-        ("sequences_rejected", counts.rejected),
-        ("sequences_aborted", counts.aborted),
-        ("sequences_withdrawn", counts.withdrawn),
-        ("schedule_attempts", counts.attempts),
-        ("attempts_timed_out", counts.timed_out),
+        ("sequences_taken", "Sequences taken", counts.taken),
+        ("sequences_generated", "Final answers: generated", counts.generated),
+        ("sequences_rejected", "Final answers: rejected", counts.rejected),
+        ("sequences_aborted", "Final answers: aborted", counts.aborted),
+        ("sequences_withdrawn", "Clients that left before their final answer", counts.withdrawn),
+        ("schedule_attempts", "Attempts sent to model servers", counts.attempts),
+        ("attempts_timed_out", "Attempts and streams ended by their time", counts.timed_out),
     ];
-    let now = [("sequences_in_hand", gateway.in_hand()), ("model_servers_listed", gateway.servers())];
-    let mut text = String::new();
-    for (name, value) in totals {
-        text.push_str(&format!(
-            "# TYPE petrelshore_{name}_total counter\npetrelshore_{name}_total {value}\n"
-        ));
+    for (name, help, value) in totals {
+        let counter = Counter::<u64>::default();
+        counter.inc_by(value);
+        registry.register(name, help, counter);
     }
-    for (name, value) in now {
-        text.push_str(&format!("# TYPE petrelshore_{name} gauge\npetrelshore_{name} {value}\n"));
+    let now = [
+        ("sequences_in_hand", "Sequences that wait for their final answer", gateway.in_hand()),
+        ("model_servers_listed", "Model servers on the list", gateway.servers()),
+    ];
+    for (name, help, value) in now {
+        let gauge = Gauge::<i64>::default();
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        registry.register(name, help, gauge);
     }
-    text
+    let mut text = String::new();
+    encode(&mut text, &registry)?;
+    Ok(text)
 }
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -58,13 +58,16 @@
     let listening = chat::bind(settings.chat).await.map_err(|error| format!("{}: {error}", settings.chat))?;
     let (name, chat, operator) = (settings.name.clone(), listening.address, settings.operator);
     let gateway = Gateway::start(settings, Spawner::new(executor)).map_err(|error| error.to_string())?;
+    let mut operator_at = String::new();
     if let Some(operator) = operator {
         let listener = async_net::TcpListener::bind(operator).await;
         let listener = listener.map_err(|error| format!("{operator}: {error}"))?;
+        let address = listener.local_addr().map_err(|error| format!("{operator}: {error}"))?;
+        operator_at = format!(", operators on {address}");
         executor.spawn(operator::serve(listener, gateway.clone())).detach();
     }
     let front = executor.spawn(chat::serve(listening, gateway.clone()));
-    println!("petrelshore {name} ready: chat on {chat}, {} model servers", gateway.servers());
+    println!("petrelshore {name} ready: chat on {chat}{operator_at}, {} model servers", gateway.servers());
     while let Some(Ok(signal)) = signals.next().await {
         if signal != Signal::Hup {
             break;
--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -10,6 +10,7 @@
 struct Running {
     child: Child,
     address: SocketAddr,
+    operator: Option<SocketAddr>,
 }
 
 impl Drop for Running {
@@ -30,10 +31,11 @@
     let mut child = petrelshore(arguments).stderr(Stdio::null()).spawn().unwrap();
     let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let ready = lines.next().unwrap().unwrap();
-    let word = ready.split([' ', ',']).find(|word| word.parse::<SocketAddr>().is_ok());
-    let address = word.unwrap_or_else(|| panic!("no address in '{ready}'")).parse().unwrap();
+    let mut addresses = ready.split([' ', ',']).filter_map(|word| word.parse::<SocketAddr>().ok());
+    let address = addresses.next().unwrap_or_else(|| panic!("no address in '{ready}'"));
+    let operator = addresses.next();
     std::thread::spawn(move || lines.for_each(drop));
-    Running { child, address }
+    Running { child, address, operator }
 }
 
 fn signal(running: &Running, name: &str) {
@@ -162,6 +164,32 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+#[test]
+fn operators_get_health_and_counts_on_a_listener_of_their_own() {
+    let folder = folder("operator");
+    let server = stand_in("one", "5");
+    write_list(&folder, &[("one", server.address)]);
+    let file = write_settings(&folder, "5s");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let both = "listen = { chat = \"127.0.0.1:0\", operator = \"127.0.0.1:0\" }";
+    std::fs::write(&file, text.replace("listen.chat = \"127.0.0.1:0\"", both)).unwrap();
+    let gateway = start(&["serve", &file]);
+    assert!(rest(ask(gateway.address, 3)).contains("[DONE]"));
+    let get = |path: &str| {
+        let mut stream = TcpStream::connect(gateway.operator.unwrap()).unwrap();
+        stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").as_bytes()).unwrap();
+        rest(stream)
+    };
+    assert!(get("/health").contains("ready"));
+    let metrics = get("/metrics");
+    assert!(
+        metrics.contains("petrelshore_sequences_generated_total 1") && metrics.contains("# HELP"),
+        "{metrics}"
+    );
+    assert!(get("/other").starts_with("HTTP/1.1 404"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn a_bad_start_says_why_in_a_line_and_fails() {
     let folder = folder("bad");
