--- /dev/null
+++ b/conductor/tests/desk.rs
@@ -0,0 +1,166 @@
+//! The desk without sockets: keys, states, usage over a break, room.
+
+use petrelshore::interface::*;
+use petrelshore_conductor::desk::{Desk, Final, Order, Piece, Refusal, Request, Sending, Taken, Usage};
+use petrelshore_conductor::intake::{Message, weigh};
+use petrelshore_conductor::proof::Ending;
+use petrelshore_conductor::{Chooser, Reason, Relay};
+use std::rc::Rc;
+
+const MS: Nanos = 1_000_000;
+
+fn desk(most: usize) -> Desk<u8> {
+    let traffic = TrafficType {
+        utility: 1.0,
+        latency_slo: 1_000 * MS,
+        slo_per_prompt_token: 0,
+        token_pace: 50 * MS,
+        effect: Effect::Repeatable,
+    };
+    let once = TrafficType { effect: Effect::OnceOnly, ..traffic.clone() };
+    let deployment = Deployment {
+        gateways: 1,
+        zone: ZoneId(0),
+        types: vec![traffic, once],
+        kinds: [Role::Reader, Role::Writer].map(|role| Kind { role, memory_tokens: 10_000.0 }).into(),
+        tenants: vec![],
+        over_share_utility: 0.1,
+        weights: Weights::Unused,
+        discovery: Discovery::Pushed,
+        ask_within: 1_000 * MS,
+        max_attempts: 6,
+        longest_retry_after: Some(1_000 * MS),
+        writers_read: false,
+        release_within: 500 * MS,
+        cold_for: 0,
+        cold_from: 1.0,
+        cold_multiple: 2.0,
+        cold_window: MS,
+    };
+    let listing = |number: u64| Listing {
+        server: ServerId(number),
+        kind: KindId((number / 2) as usize),
+        cell: CellId(0),
+        zone: ZoneId(0),
+        weight: 1.0,
+        since: 0,
+        condition: Condition::Ready,
+    };
+    let mut desk = Desk::new(0, deployment, 5, most, Chooser::Decisions);
+    desk.listed(0, ListScope::Whole, &(0..4).map(listing).collect::<Vec<_>>());
+    desk
+}
+
+fn request(traffic: usize, key: Option<&str>) -> Request {
+    Request {
+        traffic: TypeId(traffic),
+        tenant: None,
+        session: None,
+        weighed: weigh(&[Message { role: "user", text: "why" }]),
+        model: Rc::from("m"),
+        prompt: Rc::from("why"),
+        max_tokens: 10,
+        idempotency_key: key.map(Rc::from),
+        relay: Relay::Streamed,
+        client: 1,
+        budget: 5_000 * MS,
+        arrived: 0,
+    }
+}
+
+fn sending(orders: &[Order<u8>]) -> &Sending<u8> {
+    let found = orders.iter().find_map(|order| match order {
+        Order::Send(sending) => Some(sending.as_ref()),
+        _ => None,
+    });
+    found.unwrap_or_else(|| panic!("nothing is sent: {orders:?}"))
+}
+
+/// Takes a request and has its prompt read; what is sent to the writer.
+fn read(desk: &mut Desk<u8>, request: Request) -> (SeqId, Sending<u8>) {
+    let mut out = Vec::new();
+    let Taken::Accepted(id) = desk.take(0, request, &mut out) else { panic!("not taken") };
+    let reads = sending(&out).clone();
+    out.clear();
+    desk.read_done(MS, &reads.dispatch, 0.0, 7, &mut out);
+    (id, sending(&out).clone())
+}
+
+#[test]
+fn a_stream_that_goes_on_has_its_text_read_and_its_tokens_counted_once() {
+    let mut desk = desk(10);
+    let (id, first) = read(&mut desk, request(0, None));
+    assert_eq!((first.state, &*first.prompt, first.max_tokens), (Some(7), "why", 10));
+    desk.began(2 * MS, &first.dispatch);
+    desk.piece(id, Piece::Text("a ".to_owned()));
+    desk.progressed(3 * MS, id);
+    desk.piece(id, Piece::Text("b ".to_owned()));
+    let mut out = Vec::new();
+    desk.ended(4 * MS, &first.dispatch, Ending::Reset, &mut out);
+    let again = sending(&out).clone();
+    assert_eq!((again.dispatch.step, &*again.prompt, again.max_tokens), (Step::Read, "whya b ", 8));
+    out.clear();
+    desk.read_done(5 * MS, &again.dispatch, 0.0, 8, &mut out);
+    let writes = sending(&out).clone();
+    desk.began(6 * MS, &writes.dispatch);
+    desk.piece(id, Piece::Finish("stop".to_owned()));
+    desk.piece(id, Piece::Usage(Usage { prompt_tokens: 12, completion_tokens: 8 }));
+    out.clear();
+    desk.ended(7 * MS, &writes.dispatch, Ending::Generated, &mut out);
+    let usage = Usage { prompt_tokens: 10, completion_tokens: 10 };
+    assert_eq!(out, [Order::Answer { id, last: Final::Generated { finish: "stop".to_owned(), usage } }]);
+    desk.left(8 * MS, id, true, &mut out);
+    assert_eq!((desk.held(), desk.in_hand(), desk.next_due()), (0, 0, None));
+}
+
+#[test]
+fn a_client_that_leaves_has_its_state_let_go_until_the_reader_has_answered() {
+    let mut desk = desk(10);
+    let (id, writes) = read(&mut desk, request(1, Some("k")));
+    let mut out = Vec::new();
+    desk.left(2 * MS, id, false, &mut out);
+    assert!(out.contains(&Order::Cancel { id, attempt: writes.dispatch.attempt }), "{out:?}");
+    desk.cancelled(2 * MS, id, writes.dispatch.attempt, &mut out);
+    let told = out.iter().find_map(|order| match order {
+        Order::LetGo(release) => Some(release.clone()),
+        _ => None,
+    });
+    let release = told.unwrap_or_else(|| panic!("nothing is let go: {out:?}"));
+    assert_eq!((desk.held(), desk.releases_owed()), (0, 1));
+    desk.let_go(&release);
+    assert_eq!(desk.releases_owed(), 0);
+    // Its writer may have run: the key must not run it again.
+    let last = Final::Aborted { reason: Reason::Repeated };
+    assert!(
+        matches!(desk.take(3 * MS, request(1, Some("k")), &mut out), Taken::Replayed { last: l, .. } if l == last)
+    );
+}
+
+#[test]
+fn what_is_refused_leaves_nothing_behind() {
+    let mut desk = desk(1);
+    let mut out = Vec::new();
+    assert!(matches!(desk.take(0, request(0, Some("a")), &mut out), Taken::Accepted(_)));
+    assert!(matches!(
+        desk.take(0, request(0, Some("a")), &mut out),
+        Taken::Refused(Refusal::KeyInHand { .. })
+    ));
+    assert!(matches!(
+        desk.take(0, request(0, Some("b")), &mut out),
+        Taken::Refused(Refusal::GatewayFull { .. })
+    ));
+    // A refusal frees the key that it looked at.
+    assert!(matches!(
+        desk.take(0, request(0, Some("b")), &mut out),
+        Taken::Refused(Refusal::GatewayFull { .. })
+    ));
+    desk.drain();
+    assert!(matches!(desk.take(0, request(0, None), &mut out), Taken::Refused(Refusal::Draining { .. })));
+    out.clear();
+    desk.finish_all(MS, &mut out);
+    assert!(
+        out.iter().any(|order| matches!(order, Order::Answer { last: Final::Rejected { .. }, .. })),
+        "{out:?}"
+    );
+    assert_eq!(desk.in_hand(), 0);
+}
--- a/engine/tests/endings.rs
+++ b/engine/tests/endings.rs
@@ -119,6 +119,7 @@
         (answer("200 OK", EVENTS).replace("data: [DONE]", "data: {}    "), Ending::Malformed, false),
         (answer("200 OK", "data: {]\n\n"), Ending::Malformed, false),
         (answer("200 OK", "data: [DONE]\n\n"), Ending::Malformed, false),
+        (answer("200 OK", &format!("data: {}", "x".repeat(600 << 10))), Ending::Malformed, false),
         (
             answer("200 OK", "data: {\"error\":{\"message\":\"x\"}}\n\n"),
             Ending::Refused { status: 500 },
@@ -132,8 +133,8 @@
             let cut = text.contains("content-length: 9");
             let (_, ended) = written(&client, &request(to, true)).await;
             // A body that is longer than its events ends well at its closing mark.
-            assert_eq!(ended.err(), if cut { None } else { Some(ending) }, "{text}");
-            assert_eq!(ending.proves_unrun(), proven, "{text}");
+            assert_eq!(ended.err(), if cut { None } else { Some(ending) }, "{text:.200}");
+            assert_eq!(ending.proves_unrun(), proven, "{text:.200}");
         });
     }
 }
