One way into the conductor's settling; a second reckoning of utility is gone

Read over the whole change: the conductor worded a broken end twice, and the settings still carried each type's value that the desk reckons itself.

--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -249,8 +249,7 @@
         let outcome = ending.outcome(began);
         let broke = began && outcome != Outcome::Generated && held.relay == Relay::Streamed;
         let last = outcome == Outcome::Generated || (broke && !self.goes_on(now, id));
-        let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
-        self.settle(now, id, attempt, outcome, last, reason, out);
+        self.closed(now, id, attempt, outcome, last, out);
     }
 
     /// Makes a stream that broke ready to go on after its last token; false where it ends here.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -41,8 +41,6 @@
     pub models: Vec<String>,
     pub abandon_time: Nanos,
     pub max_tokens: u32,
-    /// Utility against the highest.
-    pub value: f64,
     pub effect: Effect,
 }
 
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -245,7 +245,6 @@
 
 fn decode(file: &Path, record: Record) -> Result<Settings, Vec<Problem>> {
     let mut d = Decoding { file, problems: Vec::new() };
-    let highest = record.traffic.values().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
     let (mut types, mut traffic): (Vec<TrafficType>, Vec<Traffic>) = (Vec::new(), Vec::new());
     let mut models: BTreeMap<String, String> = BTreeMap::new();
     for (name, t) in &record.traffic {
@@ -290,7 +289,6 @@
             models: t.models.clone(),
             abandon_time,
             max_tokens: t.max_tokens as u32,
-            value: t.utility / highest,
             effect,
         });
     }
