What the fronts share has its own package; credit for withdrawals; a time for whole answers

A second front needs admission, bounds on bodies, checks of fields and the words for what was not answered without copying them.

New decisions at the desk, for every front: a client that opens and withdraws without end has a credit of 32 withdrawals in some seconds and one for each answer it stayed for, then is refused before any read; a request whose client's time is too short for any answer is refused; a client may bound the whole answer, not only the first token.

--- a/chat/src/reply.rs
+++ b/chat/src/reply.rs
@@ -1,18 +1,20 @@
 //! Words for final answers: statuses, error bodies and events. The table in `docs/chat-api.md` says the same.
 
-use crate::request::Wrong;
-use crate::stall::Parts;
 use bytes::Bytes;
+use futures_lite::Stream;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode, header};
-use petrelshore::interface::Nanos;
-use petrelshore_conductor::Reason;
-use petrelshore_gateway::{Final, Refusal, Usage};
+use petrelshore_conductor::answers::{Cause, Retry, Unanswered};
+use petrelshore_front::call::{Failed, Fault, Wrong};
+use petrelshore_gateway::{Final, Usage};
 use serde_json::{Value, json};
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+/// Texts as a stream of body parts.
+pub type Parts = Pin<Box<dyn Stream<Item = Bytes>>>;
+
 /// A response's body: whole, or parts as they come.
 pub enum ReplyBody {
     Whole(Option<Bytes>),
@@ -51,23 +53,12 @@
 
 /// An error as the API words it.
 pub struct Error {
-    pub status: u16,
-    pub kind: &'static str,
-    pub code: Option<&'static str>,
-    pub param: Option<String>,
-    pub message: String,
-    pub retry: Retry,
-}
-
-/// What a client may do by itself after an error.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Retry {
-    /// Nothing ran: coming again is harmless, after this time.
-    After(Nanos),
-    /// Nothing ran, but the same request would fail again.
-    Mended,
-    /// The work may have run.
-    Never,
+    status: u16,
+    kind: &'static str,
+    code: Option<&'static str>,
+    param: Option<String>,
+    message: String,
+    retry: Retry,
 }
 
 impl Error {
@@ -95,96 +86,52 @@
 
 impl From<Wrong> for Error {
     fn from(wrong: Wrong) -> Error {
-        Error {
-            status: wrong.status,
-            kind: if wrong.status == 401 { "authentication_error" } else { "invalid_request_error" },
-            code: wrong.code,
-            param: wrong.param,
-            message: wrong.message,
-            retry: Retry::Mended,
-        }
+        let (status, code) = match wrong.what {
+            Fault::Unauthenticated => (401, Some("invalid_api_key")),
+            Fault::UnknownModel => (404, Some("model_not_found")),
+            Fault::Field | Fault::Malformed => (400, None),
+            Fault::Late => (408, None),
+            Fault::NoSuchPath => (404, None),
+            Fault::NoSuchMethod => (405, None),
+        };
+        let kind = if status == 401 { "authentication_error" } else { "invalid_request_error" };
+        Error { status, kind, code, param: wrong.field, message: wrong.message, retry: Retry::Mended }
     }
 }
 
-impl From<Refusal> for Error {
-    fn from(refusal: Refusal) -> Error {
-        let (status, kind, code, message, wait) = match refusal {
-            Refusal::KeyReused => {
-                return Error {
-                    status: 422,
-                    kind: "invalid_request_error",
-                    code: Some("idempotency_key_reused"),
-                    param: Some("Idempotency-Key".to_owned()),
-                    message: "this Idempotency-Key stands for another request".to_owned(),
-                    retry: Retry::Mended,
-                };
-            }
-            Refusal::GatewayFull { retry_after } => {
-                (503, "server_error", "overloaded", "the gateway holds all that it may", retry_after)
-            }
-            Refusal::ClientFull { retry_after } => (
-                429,
-                "rate_limit_error",
-                "too_many_in_hand",
-                "too many requests of yours are in hand",
-                retry_after,
-            ),
-            Refusal::Draining { retry_after } => {
-                (503, "server_error", "draining", "this gateway is stopping", retry_after)
-            }
-            Refusal::KeyInHand { retry_after } => (
-                409,
-                "invalid_request_error",
-                "idempotency_key_in_use",
-                "a request with this Idempotency-Key is still running",
-                retry_after,
-            ),
+impl From<Unanswered> for Error {
+    fn from(unanswered: Unanswered) -> Error {
+        const WRONG: &str = "invalid_request_error";
+        let (status, kind, code) = match unanswered.cause {
+            Cause::Rejected(_) => (503, "server_error", Some("rejected")),
+            Cause::Aborted(_) => (502, "server_error", Some("aborted")),
+            Cause::GatewayFull | Cause::Reading => (503, "server_error", Some("overloaded")),
+            Cause::Draining => (503, "server_error", Some("draining")),
+            Cause::ClientFull => (429, "rate_limit_error", Some("too_many_in_hand")),
+            Cause::Withdrawing => (429, "rate_limit_error", Some("too_many_withdrawn")),
+            Cause::KeyInHand => (409, WRONG, Some("idempotency_key_in_use")),
+            Cause::KeyReused => (422, WRONG, Some("idempotency_key_reused")),
+            Cause::NoTime => (408, WRONG, Some("no_time")),
+            Cause::TooLarge => (413, WRONG, None),
         };
-        Error {
-            status,
-            kind,
-            code: Some(code),
-            param: None,
-            message: message.to_owned(),
-            retry: Retry::After(wait),
+        let keyed = matches!(unanswered.cause, Cause::KeyReused | Cause::KeyInHand);
+        let param = keyed.then(|| "Idempotency-Key".to_owned());
+        Error { status, kind, code, param, message: unanswered.to_string(), retry: unanswered.retry }
+    }
+}
+
+impl From<Failed> for Error {
+    fn from(failed: Failed) -> Error {
+        match failed {
+            Failed::Wrong(wrong) => wrong.into(),
+            Failed::Unanswered(unanswered) => unanswered.into(),
         }
     }
 }
 
 /// The error of a final answer; none for one that was generated.
 pub fn error_of(last: &Final) -> Option<Error> {
-    let (harmless, wait, reason) = match last {
-        Final::Generated { .. } => return None,
-        Final::Rejected { retry_after, reason } => (true, retry_after.unwrap_or(1_000_000_000), *reason),
-        Final::Aborted { reason } => (false, 0, *reason),
-    };
-    let what = match reason {
-        Reason::NoRoom => "no model server can take it in time",
-        Reason::Failed => "the model servers failed at it",
-        Reason::OutOfTime => "it was not answered in time",
-        Reason::Broken => "the answer broke off",
-        Reason::Stalled => "the client took nothing of its answer",
-        Reason::Draining => "this gateway is stopping",
-        Reason::Repeated => "a request with this Idempotency-Key ended before and its answer is not kept",
-    };
-    Some(match harmless {
-        true => Error {
-            status: 503,
-            kind: "server_error",
-            code: Some("rejected"),
-            param: None,
-            message: format!("rejected: {what}; trying again is harmless"),
-            retry: Retry::After(wait),
-        },
-        false => Error {
-            status: 502,
-            kind: "server_error",
-            code: Some("aborted"),
-            param: None,
-            message: format!("aborted: {what}; the work may have run"),
-            retry: Retry::Never,
-        },
-    })
+    Unanswered::of(last).map(Error::from)
 }
 
 pub fn json_reply(status: u16, body: &Value) -> Reply {
--- a/chat/tests/requests.rs
+++ b/chat/tests/requests.rs
@@ -37,7 +37,7 @@
         let listening = chat::bind(settings.chat).await.unwrap();
         let address = listening.address;
         let gateway = Gateway::start(settings, Spawner::new(&executor)).unwrap();
-        executor.spawn(chat::serve(listening, gateway.clone())).detach();
+        executor.spawn(chat::serve(listening, chat::Entrance::new(gateway.clone()))).detach();
         test(Front { gateway, address }).await;
     };
     future::block_on(executor.run(run));
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -66,7 +66,7 @@
         operator_at = format!(", operators on {address}");
         executor.spawn(operator::serve(listener, gateway.clone())).detach();
     }
-    let front = executor.spawn(chat::serve(listening, gateway.clone()));
+    let front = executor.spawn(chat::serve(listening, chat::Entrance::new(gateway.clone())));
     println!("petrelshore {name} ready: chat on {chat}{operator_at}, {} model servers", gateway.servers());
     while let Some(Ok(signal)) = signals.next().await {
         if signal != Signal::Hup {
--- a/conductor/benches/schedule.rs
+++ b/conductor/benches/schedule.rs
@@ -89,6 +89,7 @@
             resumed: false,
             relay: Relay::Streamed,
             abandon_at: self.now + 5_000 * MS,
+            whole_by: None,
         };
         self.conductor.take(self.now, new, &mut out);
         self.now += 5 * MS;
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -32,6 +32,8 @@
     pub relay: Relay,
     /// When the sequence is given up if no token has come.
     pub abandon_at: Nanos,
+    /// When it is broken off although its stream runs, where its client said so.
+    pub whole_by: Option<Nanos>,
 }
 
 /// An attempt to be sent now.
@@ -69,6 +71,8 @@
     Stalled,
     /// The gateway is stopping.
     Draining,
+    /// The answer is larger than one that is given whole may be.
+    TooLong,
     /// A request with its key ended before, and its answer is not kept.
     Repeated,
 }
@@ -179,7 +183,8 @@
         let held = Held {
             relay: new.relay,
             due: NEVER,
-            ends_by: pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out),
+            ends_by: pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out)
+                .min(new.whole_by.unwrap_or(NEVER)),
             heard: now,
             stalled_since: None,
             tokens: 0,
@@ -459,14 +464,18 @@
                 if now < self.stream_until(held) {
                     return self.rearm(now, id);
                 }
-                if held.stalled_since.is_some() { Reason::Stalled } else { Reason::Broken }
+                match held.stalled_since {
+                    _ if now >= held.ends_by => Reason::OutOfTime,
+                    Some(_) => Reason::Stalled,
+                    None => Reason::Broken,
+                }
             }
         };
         self.counts.timed_out += 1;
         out.push(Action::Cancel { id, attempt, server, step });
         let began = status == Status::Streaming;
         // A stalled client is no word against its writer.
-        let ending = if reason == Reason::Stalled { Ending::Cancelled } else { Ending::TimedOut };
+        let ending = if held.stalled_since.is_some() { Ending::Cancelled } else { Ending::TimedOut };
         let streamed = held.relay == Relay::Streamed;
         let late = now >= held.ends_by || reason == Reason::Stalled;
         let over = began && (late || (streamed && !self.goes_on(now, id)));
--- a/conductor/src/desk.rs
+++ b/conductor/src/desk.rs
@@ -5,20 +5,19 @@
 //! shell tells what happened on its sockets and carries out [`Order`]s: connections, channels to fronts and timers
 //! are its own, nothing else is.
 
+use crate::answers::SOON;
 use crate::intake::{Weighed, fingerprint};
 use crate::limits::{NoRoom, Room};
 use crate::policy::Chooser;
 use crate::proof::Ending;
 use crate::releases::{Release, Releases};
 use crate::replays::{self, Ended, Known, Replays};
+use crate::withdrawals::Withdrawals;
 use crate::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay, pace};
 use petrelshore::interface::*;
 use std::collections::HashMap;
 use std::rc::Rc;
 
-/// When a client is told to come back to a gateway that stops, or with a key that is in hand.
-const SOON: Nanos = 1_000_000_000;
-
 /// A request as a front understood it. Nothing is taken before the desk says so.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -35,6 +34,8 @@
     pub client: u64,
     /// How long the client waits for a first token, from `arrived` on.
     pub budget: Nanos,
+    /// How long it waits for the whole answer, where it said so.
+    pub whole_within: Option<Nanos>,
     pub arrived: Nanos,
 }
 
@@ -64,6 +65,12 @@
     },
     /// The idempotency key stands for another request.
     KeyReused,
+    /// This client withdraws too much of what it asks.
+    Withdrawing {
+        retry_after: Nanos,
+    },
+    /// The client's time is too short for any answer.
+    NoTime,
 }
 
 /// The one final answer of a sequence.
@@ -141,6 +148,8 @@
     /// Something of it may have taken effect.
     may_have_run: bool,
     answered: bool,
+    /// Its first token has come.
+    began: bool,
     /// The front has let go of its answer.
     left: bool,
 }
@@ -153,6 +162,7 @@
     room: Room,
     replays: Replays<Final>,
     releases: Releases,
+    withdrawals: Withdrawals,
     tickets: HashMap<SeqId, Ticket<P>>,
     last_id: u64,
     draining: bool,
@@ -169,6 +179,7 @@
             room: Room::new(now, most),
             replays: Replays::default(),
             releases: Releases::new(deployment.release_within),
+            withdrawals: Withdrawals::default(),
             conductor: Conductor::with(now, deployment, seed, chooser),
             tickets: HashMap::new(),
             // Ids of gateways and of earlier runs must not meet at the model servers.
@@ -182,6 +193,13 @@
         if self.draining {
             return Taken::Refused(Refusal::Draining { retry_after: SOON });
         }
+        let waits = request.whole_within.unwrap_or(request.budget).min(request.budget);
+        if !pace::worth_taking(now, request.arrived, waits) {
+            return Taken::Refused(Refusal::NoTime);
+        }
+        if let Err(retry_after) = self.withdrawals.may_ask(now, (request.client, request.tenant)) {
+            return Taken::Refused(Refusal::Withdrawing { retry_after });
+        }
         let id = SeqId(self.last_id.wrapping_add(1));
         let key = key_of(&request);
         if let Some(key) = &key {
@@ -222,7 +240,8 @@
             hint: None,
             resumed: false,
             relay: request.relay,
-            abandon_at: pace::give_up_at(request.arrived, request.budget),
+            abandon_at: pace::give_up_at(request.arrived, waits),
+            whole_by: request.whole_within.map(|whole| pace::give_up_at(request.arrived, whole)),
         };
         let ticket = Ticket {
             gathered: (key.is_some() || may_go_on).then(String::new),
@@ -233,6 +252,7 @@
             done: 0,
             may_have_run: false,
             answered: false,
+            began: false,
             left: false,
         };
         self.tickets.insert(id, ticket);
@@ -262,6 +282,9 @@
     pub fn began(&mut self, now: Nanos, dispatch: &Dispatch) {
         if let Some(ticket) = self.tickets.get_mut(&dispatch.id) {
             ticket.states.clear();
+            if !std::mem::replace(&mut ticket.began, true) {
+                self.withdrawals.stayed(now, (ticket.request.client, ticket.request.tenant));
+            }
         }
         self.conductor.began(now, dispatch.id, dispatch.attempt);
     }
@@ -318,6 +341,10 @@
     pub fn left(&mut self, now: Nanos, id: SeqId, over: bool, out: &mut Vec<Order<P>>) {
         if let Some(ticket) = self.tickets.get_mut(&id) {
             ticket.left = true;
+            if !over && !ticket.began && !ticket.answered {
+                let Request { client, tenant, arrived, .. } = ticket.request;
+                self.withdrawals.withdrew(now, (client, tenant), now.saturating_sub(arrived));
+            }
         }
         if !over {
             self.ask(now, out, |conductor, actions| conductor.withdrawn(id, actions));
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -7,10 +7,11 @@
 //! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the decisions ([`intake`]), which connection it rides on
-//! ([`connections`]), which states are still to be let go ([`releases`]), and what a repeated request is told
-//! ([`replays`]).
+//! ([`connections`]), which states are still to be let go ([`releases`]), what a repeated request is told ([`replays`]), how much a client may withdraw ([`withdrawals`]), and
+//! what one that got no answer may do by itself ([`answers`]).
 //! [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
 
+pub mod answers;
 pub mod conductor;
 pub mod connections;
 pub mod continuation;
@@ -24,6 +25,7 @@
 pub mod releases;
 pub mod replays;
 pub mod terms;
+pub mod withdrawals;
 
 pub use conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay};
 pub use policy::Chooser;
--- a/conductor/src/limits.rs
+++ b/conductor/src/limits.rs
@@ -20,6 +20,9 @@
 const ONE_CLIENT: f64 = 0.25;
 const FEW: usize = 64;
 
+/// Whole answers are gathered in memory up to so many bytes; no answer's most tokens come near it.
+pub const WHOLE_ANSWER: usize = 8 << 20;
+
 /// Room for sequences in hand, counted over all fronts of the gateway.
 #[derive(Debug)]
 pub struct Room {
--- a/conductor/src/pace.rs
+++ b/conductor/src/pace.rs
@@ -6,6 +6,8 @@
 const SECOND: Nanos = 1_000 * MILLISECOND;
 /// A final answer leaves this much before its client's time is up, for the way to the client.
 const ANSWER_BEFORE: Nanos = 50 * MILLISECOND;
+/// A client's time shorter than this was spent on the way, or will be: nothing is begun for it.
+const LEAST: Nanos = 5 * MILLISECOND;
 /// The part of a very short time that may go to that.
 const ANSWER_PART: u64 = 4;
 /// A stream may pause for so many times its type's pace: a writer that reads a prompt in between, or falls back
@@ -30,6 +32,11 @@
     arrived.saturating_add(budget - ANSWER_BEFORE.min(budget / ANSWER_PART))
 }
 
+/// Whether a client's time holds any answer at all: a read and a write, and what is left of it now.
+pub fn worth_taking(now: Nanos, arrived: Nanos, budget: Nanos) -> bool {
+    budget >= LEAST && now < give_up_at(arrived, budget)
+}
+
 /// When a sequence is broken off although its stream runs. Guards against a writer that trickles for ever.
 pub fn ends_by(abandon_at: Nanos, traffic: &TrafficType, most_tokens: f64) -> Nanos {
     let stream = (most_tokens.max(0.0) as u64).saturating_mul(traffic.token_pace).saturating_mul(WHOLE);
--- a/conductor/tests/desk.rs
+++ b/conductor/tests/desk.rs
@@ -64,6 +64,7 @@
         relay: Relay::Streamed,
         client: 1,
         budget: 5_000 * MS,
+        whole_within: None,
         arrived: 0,
     }
 }
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -5,6 +5,7 @@
 use petrelshore_conductor::limits::{NoRoom, Room};
 use petrelshore_conductor::releases::{Release, Releases};
 use petrelshore_conductor::replays::{Ended, Known, Replays};
+use petrelshore_conductor::withdrawals::Withdrawals;
 use petrelshore_conductor::{intake, pace};
 
 const MS: u64 = 1_000_000;
@@ -143,3 +144,50 @@
     assert_eq!(pace::give_up_at(0, 40 * MS), 30 * MS);
     assert!(pace::connect_within(10 * MS) <= 10 * MS && pace::connect_within(60 * S) == S);
 }
+
+#[test]
+fn a_client_that_asks_and_withdraws_runs_out_of_credit_and_gets_it_back() {
+    let mut withdrawals = Withdrawals::default();
+    let (flood, other) = ((1, None), (1, Some(petrelshore::interface::TenantId(0))));
+    let mut taken = 0;
+    // A thousand streams a second, each opened and cancelled, for ten seconds.
+    for event in 0..10_000 {
+        let now = S + event * MS;
+        if withdrawals.may_ask(now, flood).is_ok() {
+            taken += 1;
+            withdrawals.withdrew(now, flood, MS / 2);
+        }
+        assert_eq!(withdrawals.may_ask(now, other), Ok(()), "another tenant of that address pays for it");
+    }
+    // 32 at once, and what fades of them in ten seconds.
+    assert!((32..=32 + 10 * 5).contains(&taken), "{taken}");
+    let now = 11 * S;
+    let wait = withdrawals.may_ask(now, flood).expect_err("the credit is used up");
+    assert!(wait > 0 && withdrawals.may_ask(now + wait, flood).is_ok(), "the time told is not true: {wait}");
+    assert!(withdrawals.may_ask(now + wait / 2, flood).is_err() || wait < 2);
+}
+
+#[test]
+fn clients_that_leave_now_and_then_or_after_long_are_never_refused() {
+    let mut withdrawals = Withdrawals::default();
+    let (some, slow) = ((1, None), (2, None));
+    for event in 0..20_000 {
+        let now = S + event * MS;
+        assert_eq!((withdrawals.may_ask(now, some), withdrawals.may_ask(now, slow)), (Ok(()), Ok(())));
+        // A third of one's leave at once; all of the other's wait two seconds in vain.
+        match event % 3 {
+            0 => withdrawals.withdrew(now, some, 50 * MS),
+            _ => withdrawals.stayed(now, some),
+        }
+        withdrawals.withdrew(now, slow, 2 * S);
+    }
+}
+
+#[test]
+fn withdrawals_remember_a_bounded_number_of_clients_and_the_worst_of_them() {
+    let mut withdrawals = Withdrawals::default();
+    (0..100).for_each(|_| withdrawals.withdrew(S, (7, None), MS));
+    (100..20_000).for_each(|client| withdrawals.withdrew(S, (client, None), MS));
+    assert!(withdrawals.remembered() <= 4_096, "{}", withdrawals.remembered());
+    assert!(withdrawals.may_ask(S, (7, None)).is_err(), "the worst was forgotten");
+}
--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -63,6 +63,7 @@
     traffic: usize,
     relay: Option<Relay>,
     abandon_at: Nanos,
+    whole_by: Option<Nanos>,
     finals: usize,
     out: Option<Dispatch>,
     began: bool,
@@ -151,6 +152,9 @@
             }
         }
         for (id, course) in &self.courses {
+            if course.finals == 0 && course.whole_by.is_some_and(|by| self.now > by) {
+                return Err(format!("rule 1: {id:?} outlasts its client's whole time"));
+            }
             if course.finals > 1 {
                 return Err(format!("rule 1: {id:?} got {} final answers", course.finals));
             }
@@ -189,7 +193,11 @@
                 let traffic = self.chance.rand_range(0..3) as usize;
                 let relay = if self.chance.rand_range(0..2) == 0 { Relay::Streamed } else { Relay::Whole };
                 let abandon_at = self.now + (200 + self.chance.rand_range(0..2_000)) * MS;
-                let course = Course { traffic, relay: Some(relay), abandon_at, ..Course::default() };
+                // Some clients bound the whole answer too.
+                let whole = self.chance.rand_range(0..4_000);
+                let whole_by = whole.is_multiple_of(2).then_some(abandon_at + whole * MS);
+                let relay_of = Some(relay);
+                let course = Course { traffic, relay: relay_of, abandon_at, whole_by, ..Course::default() };
                 self.courses.insert(id, course);
                 let new = NewSequence {
                     id,
@@ -204,6 +212,7 @@
                     resumed: false,
                     relay,
                     abandon_at,
+                    whole_by,
                 };
                 self.conductor.take(self.now, new, &mut out);
             }
--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -50,6 +50,7 @@
             resumed: line.flag("again")?,
             relay: Relay::Streamed,
             abandon_at: now.saturating_add(line.whole::<Nanos>("budget")?),
+            whole_by: None,
         };
         self.conductor.take(now, new, &mut self.actions);
         self.carry_out(reply);
--- /dev/null
+++ b/front/src/entrance.rs
@@ -0,0 +1,131 @@
+//! Connections of clients: taken, counted, and bounded in what they bring before it is understood.
+
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::doors::{Doors, Shut};
+use petrelshore_conductor::{intake, pace};
+use petrelshore_gateway::Gateway;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::debug;
+
+/// After a failed accept, as when file handles run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Past the conductor's own bound for a client that takes nothing, its socket is closed.
+const CLOSE_AFTER: Duration = Duration::from_secs(2);
+
+/// A front that listens.
+pub struct Listening {
+    listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+pub async fn bind(address: SocketAddr) -> std::io::Result<Listening> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    Ok(Listening { listener, address })
+}
+
+/// The way in to one gateway, for all of its fronts together: their connections and bodies share one bound.
+#[derive(Clone)]
+pub struct Entrance {
+    pub gateway: Gateway,
+    doors: Rc<RefCell<Doors>>,
+}
+
+impl Entrance {
+    pub fn new(gateway: Gateway) -> Self {
+        let limits = gateway.settings().limits;
+        Entrance { gateway, doors: Rc::new(RefCell::new(Doors::new(limits.connections, limits.body_bytes))) }
+    }
+
+    /// Takes connections for as long as it is polled. Those for which there is no room are handed on to be told so.
+    pub async fn take<C, T>(
+        self,
+        listening: Listening,
+        connected: impl Fn(TcpStream, Inside) -> C,
+        turn_away: impl Fn(TcpStream) -> T,
+    ) where
+        C: Future<Output = ()> + 'static,
+        T: Future<Output = ()> + 'static,
+    {
+        let spawner = self.gateway.spawner().clone();
+        loop {
+            let (stream, peer) = match listening.listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    debug!(%error, "accept failed");
+                    Timer::after(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            // Tokens are small and must not wait for each other.
+            let _ = stream.set_nodelay(true);
+            let client = intake::stable_id(&peer.ip().to_string());
+            if self.doors.borrow_mut().connect(client).is_err() {
+                let late = async {
+                    Timer::after(CLOSE_AFTER).await;
+                };
+                spawner.run(futures_lite::future::or(turn_away(stream), late));
+                continue;
+            }
+            spawner.run(connected(stream, Inside { doors: self.doors.clone(), client, peer }));
+        }
+    }
+}
+
+/// How long a client may take nothing of what is written for it, before its socket is closed.
+pub fn stalled_for() -> Duration {
+    Duration::from_nanos(pace::stalled_for()) + CLOSE_AFTER
+}
+
+/// A client's place inside; dropping it is leaving.
+pub struct Inside {
+    doors: Rc<RefCell<Doors>>,
+    pub client: u64,
+    pub peer: SocketAddr,
+}
+
+impl Inside {
+    /// The room of a body that is about to be read.
+    pub fn reading(&self) -> Reading {
+        Reading { doors: self.doors.clone(), client: self.client, bytes: 0 }
+    }
+}
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        self.doors.borrow_mut().leave(self.client);
+    }
+}
+
+/// Bytes of a body that is being read; dropping it gives their room back.
+pub struct Reading {
+    doors: Rc<RefCell<Doors>>,
+    client: u64,
+    bytes: usize,
+}
+
+impl Reading {
+    /// Room for a body that has come to so many bytes, or was told to.
+    pub fn grow_to(&mut self, bytes: usize) -> Result<(), Shut> {
+        let more = bytes.saturating_sub(self.bytes);
+        self.doors.borrow_mut().more(self.client, self.bytes, more)?;
+        self.bytes += more;
+        Ok(())
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.doors.borrow_mut().less(self.client, self.bytes);
+    }
+}
+
+/// Seconds of the Unix epoch, as protocols give them.
+pub fn seconds(at: Nanos) -> u64 {
+    at / 1_000_000_000
+}
--- a/chat/src/stall.rs
+++ b/front/src/stall.rs
@@ -2,7 +2,7 @@
 
 use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::{AsyncRead, AsyncWrite, Stream, future::FutureExt};
+use futures_lite::{AsyncRead, AsyncWrite, future::FutureExt};
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -54,6 +54,3 @@
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
-
-/// Texts as a stream of body parts.
-pub type Parts = Pin<Box<dyn Stream<Item = bytes::Bytes>>>;
--- a/rehearsal/src/fleet.rs
+++ b/rehearsal/src/fleet.rs
@@ -190,7 +190,7 @@
         let name = settings.name.clone();
         let gateway =
             Gateway::start_with(settings, Spawner::new(&own), chooser).map_err(|error| error.to_string())?;
-        let serving = chat::serve(listening, gateway.clone());
+        let serving = chat::serve(listening, chat::Entrance::new(gateway.clone()));
         let driver = executor.spawn(async move { own.run(serving).await });
         Ok(Running { name, gateway, address, driver })
     }
