A gRPC front with token streams, health and reflection, under the same conductor

Some users call from services that speak gRPC. The new package 'grpc' serves petrelshore.chat.v1 with a token stream, a whole answer and the models, beside grpc.health.v1 and reflection, on a listener of its own; calls are checked, taken and ended by what the fronts share. It stands on the h2 crate: only there can a client that does not read its stream still be told its end (trailers need no window), and be reset alone. The conductor decides how a peer may behave on a shared connection ('manners': pings, settings, resets, small frames, peers gone without a word) and which stream is ended when a connection stands still ('windows'). grpc-timeout bounds the whole answer as well as the first token.

The rehearsal's clients speak both fronts, and every hard case of the chat front now runs over both from one table.

--- a/chat/src/reply.rs
+++ b/chat/src/reply.rs
@@ -101,21 +101,19 @@
 
 impl From<Unanswered> for Error {
     fn from(unanswered: Unanswered) -> Error {
-        const WRONG: &str = "invalid_request_error";
-        let (status, kind, code) = match unanswered.cause {
-            Cause::Rejected(_) => (503, "server_error", Some("rejected")),
-            Cause::Aborted(_) => (502, "server_error", Some("aborted")),
-            Cause::GatewayFull | Cause::Reading => (503, "server_error", Some("overloaded")),
-            Cause::Draining => (503, "server_error", Some("draining")),
-            Cause::ClientFull => (429, "rate_limit_error", Some("too_many_in_hand")),
-            Cause::Withdrawing => (429, "rate_limit_error", Some("too_many_withdrawn")),
-            Cause::KeyInHand => (409, WRONG, Some("idempotency_key_in_use")),
-            Cause::KeyReused => (422, WRONG, Some("idempotency_key_reused")),
-            Cause::NoTime => (408, WRONG, Some("no_time")),
-            Cause::TooLarge => (413, WRONG, None),
+        let cause = unanswered.cause;
+        let (status, kind) = match cause {
+            Cause::Rejected(_) | Cause::GatewayFull | Cause::Reading | Cause::Draining => {
+                (503, "server_error")
+            }
+            Cause::Aborted(_) => (502, "server_error"),
+            Cause::ClientFull | Cause::Withdrawing => (429, "rate_limit_error"),
+            Cause::KeyInHand => (409, "invalid_request_error"),
+            Cause::KeyReused => (422, "invalid_request_error"),
+            Cause::NoTime => (408, "invalid_request_error"),
+            Cause::TooLarge => (413, "invalid_request_error"),
         };
-        let keyed = matches!(unanswered.cause, Cause::KeyReused | Cause::KeyInHand);
-        let param = keyed.then(|| "Idempotency-Key".to_owned());
+        let (code, param) = (Some(cause.code()), cause.field().map(str::to_owned));
         Error { status, kind, code, param, message: unanswered.to_string(), retry: unanswered.retry }
     }
 }
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -6,6 +6,7 @@
 use futures_lite::{StreamExt, future};
 use petrelshore_chat as chat;
 use petrelshore_gateway::{Gateway, Spawner};
+use petrelshore_grpc as grpc;
 use petrelshore_inventory::{Format, read_list};
 use petrelshore_settings::{Problem, Settings, read};
 use std::path::Path;
@@ -57,7 +58,14 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
     let listening = chat::bind(settings.chat).await.map_err(|error| format!("{}: {error}", settings.chat))?;
     let (name, chat, operator) = (settings.name.clone(), listening.address, settings.operator);
+    let mut grpc_listening = None;
+    if let Some(address) = settings.grpc {
+        grpc_listening = Some(grpc::bind(address).await.map_err(|error| format!("{address}: {error}"))?);
+    }
     let gateway = Gateway::start(settings, Spawner::new(executor)).map_err(|error| error.to_string())?;
+    let entrance = chat::Entrance::new(gateway.clone());
+    let grpc_at = grpc_listening.as_ref().map_or(String::new(), |at| format!(", gRPC on {}", at.address));
+    let grpc_front = grpc_listening.map(|at| executor.spawn(grpc::serve(at, entrance.clone())));
     let mut operator_at = String::new();
     if let Some(operator) = operator {
         let listener = async_net::TcpListener::bind(operator).await;
@@ -66,8 +74,11 @@
         operator_at = format!(", operators on {address}");
         executor.spawn(operator::serve(listener, gateway.clone())).detach();
     }
-    let front = executor.spawn(chat::serve(listening, chat::Entrance::new(gateway.clone())));
-    println!("petrelshore {name} ready: chat on {chat}{operator_at}, {} model servers", gateway.servers());
+    let front = executor.spawn(chat::serve(listening, entrance));
+    println!(
+        "petrelshore {name} ready: chat on {chat}{grpc_at}{operator_at}, {} model servers",
+        gateway.servers()
+    );
     while let Some(Ok(signal)) = signals.next().await {
         if signal != Signal::Hup {
             break;
@@ -81,7 +92,7 @@
     // New connections are still answered, with a time to come back, until the last stream has ended.
     let ended = gateway.drain().await;
     async_io::Timer::after(LAST_BYTES).await;
-    drop(front);
+    drop((front, grpc_front));
     info!(ended, counts = ?gateway.counts(), "stopped");
     Ok(())
 }
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -33,8 +33,12 @@
     let executor = Rc::new(LocalExecutor::new());
     let run = async {
         let (fleet, running) = fleet::try_out(executor.clone(), &folder, listen).await?;
-        let at = running.address;
-        println!("petrelshore ready: chat on {at}, before {} stand-ins of this process", fleet.places.len());
+        let at = running.at.chat;
+        println!(
+            "petrelshore ready: chat on {at}, gRPC on {}, before {} stand-ins of this process",
+            running.at.grpc,
+            fleet.places.len()
+        );
         println!("try it:\n");
         println!("  curl -N http://{at}/v1/chat/completions -H 'content-type: application/json' \\");
         println!(
--- a/conductor/src/answers.rs
+++ b/conductor/src/answers.rs
@@ -47,6 +47,29 @@
     TooLarge,
 }
 
+impl Cause {
+    /// One word for programs, the same in every front.
+    pub fn code(self) -> &'static str {
+        match self {
+            Cause::Rejected(_) => "rejected",
+            Cause::Aborted(_) => "aborted",
+            Cause::GatewayFull | Cause::Reading => "overloaded",
+            Cause::ClientFull => "too_many_in_hand",
+            Cause::Withdrawing => "too_many_withdrawn",
+            Cause::Draining => "draining",
+            Cause::KeyInHand => "idempotency_key_in_use",
+            Cause::KeyReused => "idempotency_key_reused",
+            Cause::NoTime => "no_time",
+            Cause::TooLarge => "too_large",
+        }
+    }
+
+    /// The field of the request's head that is to blame, if one is.
+    pub fn field(self) -> Option<&'static str> {
+        matches!(self, Cause::KeyInHand | Cause::KeyReused).then_some("Idempotency-Key")
+    }
+}
+
 /// A request's end without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unanswered {
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -8,7 +8,8 @@
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the decisions ([`intake`]), which connection it rides on
 //! ([`connections`]), which states are still to be let go ([`releases`]), what a repeated request is told ([`replays`]), how much a client may withdraw ([`withdrawals`]), and
-//! what one that got no answer may do by itself ([`answers`]).
+//! what one that got no answer may do by itself ([`answers`]). Of connections that carry many calls it is decided
+//! how their peers may behave ([`manners`]) and which stream is at fault when all stand still ([`windows`]).
 //! [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
 
 pub mod answers;
@@ -19,12 +20,14 @@
 pub mod doors;
 pub mod intake;
 pub mod limits;
+pub mod manners;
 pub mod pace;
 pub mod policy;
 pub mod proof;
 pub mod releases;
 pub mod replays;
 pub mod terms;
+pub mod windows;
 pub mod withdrawals;
 
 pub use conductor::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay};
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -1,7 +1,8 @@
 //! What crosses between the fronts and the gateway.
 
 use crate::gateway::Inner;
-use async_channel::Receiver;
+use async_channel::{Receiver, TryRecvError};
+use event_listener::Event;
 use petrelshore::interface::SeqId;
 use petrelshore_conductor::desk::{Final, Request};
 use std::rc::Rc;
@@ -26,6 +27,7 @@
     pub(crate) id: SeqId,
     pub(crate) gateway: Rc<Inner>,
     pub(crate) texts: Receiver<String>,
+    pub(crate) ended: Rc<Event>,
     pub(crate) over: bool,
     /// The end of an earlier request with the same key, told again.
     pub(crate) replayed: Option<Final>,
@@ -45,6 +47,35 @@
         if let Ok(text) = self.texts.recv().await {
             return Some(Next::Text(text));
         }
+        self.finish()
+    }
+
+    /// The next text or the final answer, if it is there by now.
+    pub fn ready(&mut self) -> Option<Next> {
+        if self.over {
+            return None;
+        }
+        match self.texts.try_recv() {
+            Ok(text) => Some(Next::Text(text)),
+            Err(TryRecvError::Empty) => None,
+            Err(TryRecvError::Closed) => self.finish(),
+        }
+    }
+
+    /// Returns when the sequence has been given up, though texts before that may wait to be read: a front that
+    /// cannot hand those on can tell the end at once.
+    pub async fn given_up(&mut self) -> Final {
+        loop {
+            let ended = self.ended.listen();
+            if let Some(last) = self.gateway.given_up(self.id) {
+                self.over = true;
+                return last;
+            }
+            ended.await;
+        }
+    }
+
+    fn finish(&mut self) -> Option<Next> {
         self.over = true;
         self.replayed.take().or_else(|| self.gateway.take_final(self.id)).map(Next::Final)
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -55,6 +55,8 @@
     model: Rc<str>,
     texts: Sender<String>,
     last: Option<Final>,
+    /// Told when `last` is there.
+    ended: Rc<Event>,
     /// The one attempt that is out.
     attempt: Option<(usize, Task<()>)>,
 }
@@ -74,6 +76,8 @@
     waits_for: Cell<Nanos>,
     /// Told when a sequence has left.
     emptied: Event,
+    /// Told when nothing further is taken.
+    stopping: Event,
 }
 
 /// A gateway that runs. Clones are the same gateway.
@@ -108,6 +112,7 @@
             sooner: Event::new(),
             waits_for: Cell::new(Nanos::MAX),
             emptied: Event::new(),
+            stopping: Event::new(),
             settings,
             clock,
             spawner,
@@ -166,10 +171,12 @@
         let mut orders = Vec::new();
         let taken = inner.desk.borrow_mut().take(inner.clock.now(), request, &mut orders);
         let (texts, receiver) = async_channel::bounded(TEXTS);
+        let ended = Rc::new(Event::new());
         let (id, replayed) = match taken {
             Taken::Refused(refusal) => return Err(refusal),
             Taken::Accepted(id) => {
-                let ticket = Ticket { stop, sampling, model, texts, last: None, attempt: None };
+                let ticket =
+                    Ticket { stop, sampling, model, texts, last: None, ended: ended.clone(), attempt: None };
                 inner.tickets.borrow_mut().insert(id, ticket);
                 (id, None)
             }
@@ -183,7 +190,7 @@
             }
         };
         inner.carry_out(orders);
-        Ok(Answer { id, gateway: inner.clone(), texts: receiver, over: false, replayed })
+        Ok(Answer { id, gateway: inner.clone(), texts: receiver, ended, over: false, replayed })
     }
 
     /// Takes nothing further, lets running streams go on for the drain time, then answers the rest. Returns how
@@ -191,6 +198,7 @@
     pub async fn drain(&self) -> usize {
         let inner = &self.0;
         inner.desk.borrow_mut().drain();
+        inner.stopping.notify(usize::MAX);
         let emptied = async {
             while self.in_hand() > 0 {
                 inner.emptied.listen().await;
@@ -221,6 +229,14 @@
         self.0.desk.borrow().draining()
     }
 
+    /// Returns once nothing further is taken.
+    pub async fn until_draining(&self) {
+        let stopping = self.0.stopping.listen();
+        if !self.draining() {
+            stopping.await;
+        }
+    }
+
     pub fn counts(&self) -> Counts {
         self.0.desk.borrow().counts()
     }
@@ -466,6 +482,7 @@
         if let Some(ticket) = self.tickets.borrow_mut().get_mut(&id) {
             ticket.last = Some(last);
             ticket.texts.close();
+            ticket.ended.notify(usize::MAX);
         }
         self.emptied.notify(usize::MAX);
     }
@@ -474,6 +491,13 @@
         self.tickets.borrow_mut().get_mut(&id).and_then(|ticket| ticket.last.take())
     }
 
+    /// The final answer, where it is there and is none that was generated.
+    pub(crate) fn given_up(&self, id: SeqId) -> Option<Final> {
+        let tickets = self.tickets.borrow();
+        let last = tickets.get(&id).and_then(|ticket| ticket.last.clone());
+        last.filter(|last| !matches!(last, Final::Generated { .. }))
+    }
+
     /// The front has let go of its answer; `over` where it had read the end of it.
     pub(crate) fn left(self: &Rc<Self>, id: SeqId, over: bool) {
         self.tell(|desk, now, out| desk.left(now, id, over, out));
--- /dev/null
+++ b/grpc/src/request.rs
@@ -0,0 +1,108 @@
+//! From a request's metadata and message to a call.
+
+use crate::status::Told;
+use crate::v1;
+use http::HeaderMap;
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::Relay;
+use petrelshore_front::call::{Call, Head, Wrong};
+use serde_json::{Map, Value};
+use tonic::Status;
+
+const MOST_DIGITS: usize = 8;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// What a call's metadata tells. Its whole time is also how long it waits for a first token.
+pub fn head(headers: &HeaderMap) -> Result<Head<'_>, Told> {
+    let whole_within = text(headers, "grpc-timeout").map(timeout).transpose()?;
+    let packed = text(headers, "grpc-encoding").is_some_and(|encoding| encoding != "identity");
+    if packed {
+        return Err(Told::Status(Status::unimplemented("messages can't be compressed here")));
+    }
+    Ok(Head { abandon_time: whole_within, whole_within, ..Head::of(|name| text(headers, name)) })
+}
+
+/// A time as the protocol gives it: up to eight digits and a unit.
+fn timeout(text: &str) -> Result<Nanos, Wrong> {
+    let wrong = || Wrong::field("grpc-timeout", "must be 1 to 8 digits and one of H, M, S, m, u, n");
+    let (digits, unit) = text.split_at_checked(text.len().saturating_sub(1)).ok_or_else(wrong)?;
+    let unit: Nanos = match unit {
+        "H" => 3_600_000_000_000,
+        "M" => 60_000_000_000,
+        "S" => 1_000_000_000,
+        "m" => 1_000_000,
+        "u" => 1_000,
+        "n" => 1,
+        _ => return Err(wrong()),
+    };
+    if digits.len() > MOST_DIGITS || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(wrong());
+    }
+    digits.parse::<Nanos>().map(|number| number.saturating_mul(unit)).map_err(|_| wrong())
+}
+
+pub fn call(request: v1::ChatRequest, relay: Relay) -> Result<Call, Wrong> {
+    if request.model.is_empty() {
+        return Err(Wrong::field("model", "'model' is missing"));
+    }
+    if request.max_tokens == Some(0) {
+        return Err(Wrong::field("max_tokens", "'max_tokens' must be a whole number of 1 or more"));
+    }
+    let messages = request.messages.into_iter().enumerate().map(|(index, message)| {
+        let role = match message.role() {
+            v1::Role::System => "system",
+            v1::Role::Developer => "developer",
+            v1::Role::User => "user",
+            v1::Role::Assistant => "assistant",
+            v1::Role::Tool => "tool",
+            v1::Role::Unspecified => {
+                let place = format!("messages[{index}].role");
+                return Err(Wrong::field(&place, "'role' is missing or unknown"));
+            }
+        };
+        Ok((role.to_owned(), message.text))
+    });
+    let mut sampling = Map::new();
+    let numbers = [
+        ("temperature", request.temperature),
+        ("top_p", request.top_p),
+        ("presence_penalty", request.presence_penalty),
+        ("frequency_penalty", request.frequency_penalty),
+    ];
+    for (name, number) in numbers {
+        let Some(number) = number else { continue };
+        let value = serde_json::Number::from_f64(number)
+            .ok_or_else(|| Wrong::field(name, format!("'{name}' must be a number")))?;
+        sampling.insert(name.to_owned(), Value::Number(value));
+    }
+    if let Some(seed) = request.seed {
+        sampling.insert("seed".to_owned(), Value::from(seed));
+    }
+    Ok(Call {
+        model: request.model,
+        messages: messages.collect::<Result<_, _>>()?,
+        max_tokens: request.max_tokens.map(u64::from),
+        stop: request.stop,
+        sampling,
+        session: Some(request.session).filter(|session| !session.is_empty()),
+        relay,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_read_as_the_protocol_gives_them_and_nothing_else() {
+        let good = [("1H", 3_600_000_000_000), ("2S", 2_000_000_000), ("250m", 250_000_000), ("7n", 7)];
+        good.iter().for_each(|(text, nanos)| assert_eq!(timeout(text), Ok(*nanos), "{text}"));
+        assert_eq!(timeout("99999999H"), Ok(Nanos::MAX));
+        for bad in ["", "S", "5", "5s", "123456789S", "-1S", "+1S", "1.5S", " 1S", "1 S", "ä"] {
+            assert!(timeout(bad).is_err(), "'{bad}' was read");
+        }
+    }
+}
--- /dev/null
+++ b/grpc/src/status.rs
@@ -0,0 +1,121 @@
+//! Words for what was not answered: status codes and details. The table in `docs/grpc-api.md` says the same.
+//!
+//! Clients of this protocol send again by themselves after the codes that their service configuration names, most
+//! often UNAVAILABLE and RESOURCE_EXHAUSTED. Those two are given with RetryInfo only where nothing ran; everything
+//! else carries a pushback that forbids a retry, which clients obey whatever the code.
+
+use petrelshore_conductor::Reason;
+use petrelshore_conductor::answers::{Cause, Retry, Unanswered};
+use petrelshore_front::call::{Failed, Fault, Wrong};
+use std::time::Duration;
+use tonic::metadata::{MetadataMap, MetadataValue};
+use tonic::{Code, Status};
+use tonic_types::{ErrorDetails, StatusExt};
+
+const DOMAIN: &str = "petrelshore";
+const PUSHBACK: &str = "grpc-retry-pushback-ms";
+
+/// Why a call ends without an answer.
+pub enum Told {
+    Failed(Failed),
+    /// What only this protocol knows.
+    Status(Status),
+    /// Nobody is there to be told.
+    Gone,
+}
+
+impl<F: Into<Failed>> From<F> for Told {
+    fn from(failed: F) -> Told {
+        Told::Failed(failed.into())
+    }
+}
+
+pub fn status_of(failed: &Failed) -> Status {
+    match failed {
+        Failed::Wrong(wrong) => of_wrong(wrong),
+        Failed::Unanswered(unanswered) => of_unanswered(unanswered),
+    }
+}
+
+fn of_wrong(wrong: &Wrong) -> Status {
+    let (code, reason) = match wrong.what {
+        Fault::Unauthenticated => (Code::Unauthenticated, "INVALID_API_KEY"),
+        Fault::UnknownModel => (Code::NotFound, "MODEL_NOT_FOUND"),
+        Fault::Field => (Code::InvalidArgument, "INVALID_FIELD"),
+        // As the protocol has it for messages that can't be parsed.
+        Fault::Malformed => (Code::Internal, "MALFORMED"),
+        Fault::Late => (Code::DeadlineExceeded, "REQUEST_LATE"),
+        Fault::NoSuchPath | Fault::NoSuchMethod => (Code::Unimplemented, "NO_SUCH_METHOD"),
+    };
+    let mut details = ErrorDetails::with_error_info(reason, DOMAIN, []);
+    if let Some(field) = &wrong.field {
+        details.set_bad_request(vec![tonic_types::FieldViolation::new(field, &wrong.message)]);
+    }
+    Status::with_error_details_and_metadata(code, &wrong.message, details, pushback(Retry::Mended))
+}
+
+fn of_unanswered(unanswered: &Unanswered) -> Status {
+    let code = match unanswered.cause {
+        Cause::Rejected(_) | Cause::GatewayFull | Cause::Reading | Cause::Draining | Cause::KeyInHand => {
+            Code::Unavailable
+        }
+        Cause::ClientFull | Cause::Withdrawing | Cause::TooLarge => Code::ResourceExhausted,
+        Cause::Aborted(Reason::OutOfTime) | Cause::NoTime => Code::DeadlineExceeded,
+        Cause::Aborted(Reason::Repeated) => Code::AlreadyExists,
+        // Not ABORTED: that code tells callers to try again.
+        Cause::Aborted(_) => Code::Internal,
+        Cause::KeyReused => Code::InvalidArgument,
+    };
+    let message = unanswered.to_string();
+    let reason = unanswered.cause.code().to_uppercase();
+    let mut details = ErrorDetails::with_error_info(reason, DOMAIN, []);
+    if let Retry::After(wait) = unanswered.retry {
+        details.set_retry_info(Some(Duration::from_nanos(wait)));
+    }
+    if let Some(field) = unanswered.cause.field() {
+        details.set_bad_request(vec![tonic_types::FieldViolation::new(field, &message)]);
+    }
+    Status::with_error_details_and_metadata(code, message, details, pushback(unanswered.retry))
+}
+
+/// When a client may send again by itself; below zero it may not.
+fn pushback(retry: Retry) -> MetadataMap {
+    let millis = match retry {
+        Retry::After(wait) => i64::try_from(wait.div_ceil(1_000_000)).unwrap_or(i64::MAX),
+        Retry::Mended | Retry::Never => -1,
+    };
+    let mut metadata = MetadataMap::new();
+    metadata.insert(PUSHBACK, MetadataValue::from(millis));
+    metadata
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use petrelshore_gateway::Refusal;
+
+    #[test]
+    fn only_what_provably_did_not_run_may_be_sent_again() {
+        use Reason::*;
+        let reasons = [NoRoom, Failed, OutOfTime, Broken, Stalled, Draining, TooLong, Repeated];
+        let all = reasons.iter().flat_map(|reason| {
+            [
+                Unanswered { cause: Cause::Rejected(*reason), retry: Retry::After(5_000_001) },
+                Unanswered { cause: Cause::Aborted(*reason), retry: Retry::Never },
+            ]
+        });
+        for unanswered in all.chain([Refusal::NoTime.into(), Refusal::KeyReused.into()]) {
+            let status = of_unanswered(&unanswered);
+            let harmless = matches!(unanswered.retry, Retry::After(_));
+            let retried =
+                matches!(status.code(), Code::Unavailable | Code::ResourceExhausted | Code::Aborted);
+            let pushback = status.metadata().get(PUSHBACK).and_then(|value| value.to_str().ok()).unwrap();
+            assert_eq!(
+                (retried, status.get_details_retry_info().is_some()),
+                (harmless, harmless),
+                "{unanswered:?}"
+            );
+            assert_eq!(pushback, if harmless { "6" } else { "-1" }, "{unanswered:?}");
+        }
+    }
+}
--- /dev/null
+++ b/grpc/src/watch.rs
@@ -0,0 +1,171 @@
+//! A socket that notes which frames come over it, for those who judge manners and windows.
+//!
+//! The HTTP/2 library answers pings and settings by itself and tells nobody. Only frame heads are read here, and the
+//! few bytes of window updates; the library reads everything again and judges it.
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::manners::{Heard, Manners};
+use petrelshore_conductor::windows::Windows;
+use petrelshore_gateway::Clock;
+use std::cell::RefCell;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+/// A client's first bytes, before any frame.
+const PREFACE: usize = 24;
+const HEAD: usize = 9;
+
+/// What is known of one connection.
+pub struct Known {
+    pub clock: Clock,
+    pub manners: RefCell<Manners>,
+    pub windows: RefCell<Windows>,
+}
+
+pub struct Watch<S> {
+    stream: S,
+    known: Rc<Known>,
+    frames: Frames,
+}
+
+impl<S> Watch<S> {
+    pub fn new(stream: S, known: Rc<Known>) -> Self {
+        Watch { stream, known, frames: Frames { skip: PREFACE, ..Frames::default() } }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watch<S> {
+    fn poll_read(mut self: Pin<&mut Self>, context: &mut Context<'_>, buf: &mut [u8]) -> Poll<Result<usize>> {
+        let known = self.known.clone();
+        if known.manners.borrow().bad().is_some() {
+            // Nothing more is read of it: its connection's task is about to end it.
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.stream).poll_read(context, buf);
+        if let Poll::Ready(Ok(count)) = &read {
+            let now = known.clock.now();
+            self.frames.pass(&buf[..*count], |frame| note(&known, now, frame));
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watch<S> {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+fn note(known: &Known, now: Nanos, frame: &Frame) {
+    const ACK: u8 = 1;
+    let heard = match (frame.kind, frame.flags & ACK) {
+        (0, _) if frame.length > 0 => Heard::Call,
+        (1, _) => Heard::Call,
+        (3, _) => Heard::Reset,
+        // What the peer answers to ours is no fault of its own.
+        (4 | 6, ACK) => Heard::Call,
+        (4, _) => Heard::Settings,
+        (6, _) => Heard::Ping,
+        _ => Heard::Small,
+    };
+    known.manners.borrow_mut().heard(now, heard);
+    if let (8, Some(increment)) = (frame.kind, frame.increment) {
+        known.windows.borrow_mut().given(now, frame.stream, increment);
+    }
+}
+
+/// A frame's head, and a window update's one field.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Frame {
+    length: usize,
+    kind: u8,
+    flags: u8,
+    stream: u32,
+    increment: Option<u32>,
+}
+
+/// Finds frames in bytes that come in any pieces.
+#[derive(Default)]
+struct Frames {
+    /// Bytes to pass by before the next head.
+    skip: usize,
+    head: [u8; HEAD + 4],
+    have: usize,
+}
+
+impl Frames {
+    fn pass(&mut self, mut bytes: &[u8], mut found: impl FnMut(&Frame)) {
+        while !bytes.is_empty() {
+            if self.skip > 0 {
+                let by = self.skip.min(bytes.len());
+                (self.skip, bytes) = (self.skip - by, &bytes[by..]);
+                continue;
+            }
+            let wanted = if self.have >= HEAD { HEAD + 4 } else { HEAD };
+            let take = (wanted - self.have).min(bytes.len());
+            self.head[self.have..self.have + take].copy_from_slice(&bytes[..take]);
+            (self.have, bytes) = (self.have + take, &bytes[take..]);
+            let head = &self.head;
+            let length = usize::from(head[0]) << 16 | usize::from(head[1]) << 8 | usize::from(head[2]);
+            let update = head[3] == 8 && length == 4;
+            if self.have < HEAD || (update && self.have < HEAD + 4) {
+                continue;
+            }
+            let number = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+            found(&Frame {
+                length,
+                kind: head[3],
+                flags: head[4],
+                stream: number(5) & 0x7fff_ffff,
+                increment: update.then(|| number(HEAD) & 0x7fff_ffff),
+            });
+            self.skip = if update { 0 } else { length };
+            self.have = 0;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+        let mut bytes = vec![0, (payload.len() >> 8) as u8, payload.len() as u8, kind, flags];
+        bytes.extend_from_slice(&stream.to_be_bytes());
+        bytes.extend_from_slice(payload);
+        bytes
+    }
+
+    #[test]
+    fn frames_are_found_in_whatever_pieces_they_come() {
+        let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+        bytes.extend(frame(4, 0, 0, &[0; 12]));
+        bytes.extend(frame(8, 0, 3, &500u32.to_be_bytes()));
+        bytes.extend(frame(0, 1, 3, &[7; 300]));
+        bytes.extend(frame(6, 0, 0, &[0; 8]));
+        bytes.extend(frame(3, 0, 3, &[0; 4]));
+        for size in [1, 2, 5, 9, 13, 64, 1000] {
+            let mut frames = Frames { skip: PREFACE, ..Frames::default() };
+            let mut seen = Vec::new();
+            bytes.chunks(size).for_each(|part| frames.pass(part, |frame| seen.push(*frame)));
+            let kinds: Vec<(u8, u32, usize)> = seen.iter().map(|f| (f.kind, f.stream, f.length)).collect();
+            assert_eq!(
+                kinds,
+                [(4, 0, 12), (8, 3, 4), (0, 3, 300), (6, 0, 8), (3, 3, 4)],
+                "in pieces of {size}"
+            );
+            assert_eq!(seen[1].increment, Some(500));
+        }
+    }
+}
--- a/rehearsal/src/fleet.rs
+++ b/rehearsal/src/fleet.rs
@@ -1,8 +1,11 @@
 //! A fleet of stand-ins with a gateway before it, in one process.
 
+use crate::client::Addresses;
 use async_executor::{LocalExecutor, Task};
+use futures_lite::future;
 use petrelshore_chat as chat;
 use petrelshore_gateway::{Chooser, Gateway, Spawner};
+use petrelshore_grpc as grpc;
 use petrelshore_settings::read_text;
 use petrelshore_stand_in::model::{Build, Role};
 use petrelshore_stand_in::record::{Passed, Record};
@@ -131,7 +134,7 @@
     format!(
         r#"{{
   name = "{name}", zone = "here", gateways = {gateways},
-  listen.chat = "{chat}",
+  listen = {{ chat = "{chat}", grpc | default = "127.0.0.1:0" }},
   inventory = {{ file = "boxes.csv", kept = "{name}-last.json" }},
   kinds = {{
     reader = {{ role = 'reader, memory_tokens = 200000 }},
@@ -162,7 +165,7 @@
 pub struct Running {
     pub name: String,
     pub gateway: Gateway,
-    pub address: SocketAddr,
+    pub at: Addresses,
     driver: Task<()>,
 }
 
@@ -186,13 +189,19 @@
         // All that it runs is on an executor of its own, so that a kill ends all of it at once.
         let own: Executor = Rc::new(LocalExecutor::new());
         let listening = chat::bind(settings.chat).await.map_err(|error| error.to_string())?;
-        let address = listening.address;
+        let grpc_at = settings.grpc.ok_or("listen.grpc is missing")?;
+        let grpc_listening = grpc::bind(grpc_at).await.map_err(|error| error.to_string())?;
+        let at = Addresses { chat: listening.address, grpc: grpc_listening.address };
         let name = settings.name.clone();
         let gateway =
             Gateway::start_with(settings, Spawner::new(&own), chooser).map_err(|error| error.to_string())?;
-        let serving = chat::serve(listening, chat::Entrance::new(gateway.clone()));
-        let driver = executor.spawn(async move { own.run(serving).await });
-        Ok(Running { name, gateway, address, driver })
+        let entrance = chat::Entrance::new(gateway.clone());
+        let fronts =
+            future::zip(chat::serve(listening, entrance.clone()), grpc::serve(grpc_listening, entrance));
+        let driver = executor.spawn(async move {
+            own.run(fronts).await;
+        });
+        Ok(Running { name, gateway, at, driver })
     }
 
     /// Kills it outright: nothing of what it held is answered.
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod auditor;
 pub mod client;
 pub mod fleet;
+pub mod grpc_client;
 pub mod load;
 pub mod rehearse;
 pub mod script;
--- a/rehearsal/src/script.rs
+++ b/rehearsal/src/script.rs
@@ -1,5 +1,6 @@
 //! Scripts of rehearsals: typed files that name fleet, clients and timed faults.
 
+use crate::client::Front;
 use petrelshore_settings::{Problem, evaluate};
 use petrelshore_stand_in::model::Fault;
 use serde::Deserialize;
@@ -34,6 +35,7 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Clients {
     pub model: Model,
+    pub front: Fronts,
     pub per_second: f64,
     pub words: f64,
     pub max_tokens: f64,
@@ -42,6 +44,26 @@
     pub retries: f64,
 }
 
+/// Which fronts a group of clients speaks to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fronts {
+    Chat,
+    Grpc,
+    Both,
+}
+
+impl Fronts {
+    /// The front of a client with this number.
+    pub fn of(self, client: u64) -> Front {
+        match self {
+            Fronts::Chat => Front::Chat,
+            Fronts::Grpc => Front::Grpc,
+            Fronts::Both => Front::ALL[(client % 2) as usize],
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Model {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -17,6 +17,7 @@
 pub struct Settings {
     pub name: String,
     pub chat: SocketAddr,
+    pub grpc: Option<SocketAddr>,
     pub operator: Option<SocketAddr>,
     pub inventory: PathBuf,
     pub kept: PathBuf,
@@ -48,6 +49,8 @@
 pub struct Limits {
     pub sequences: usize,
     pub connections: usize,
+    /// On one connection that carries many.
+    pub streams: u32,
     pub body_bytes: usize,
     pub body_time: Nanos,
 }
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -61,6 +61,7 @@
 #[derive(Deserialize)]
 struct ListenRecord {
     chat: String,
+    grpc: Option<String>,
     operator: Option<String>,
 }
 
@@ -137,6 +138,7 @@
 struct LimitsRecord {
     sequences: f64,
     connections: f64,
+    streams: f64,
     body_bytes: f64,
     body_time: String,
 }
@@ -345,11 +347,13 @@
     let limits = Limits {
         sequences: record.limits.sequences as usize,
         connections: record.limits.connections as usize,
+        streams: record.limits.streams as u32,
         body_bytes: record.limits.body_bytes as usize,
         body_time: d.time("limits.body_time", &record.limits.body_time),
     };
     let settings = Settings {
         chat: d.address("listen.chat", &record.listen.chat),
+        grpc: record.listen.grpc.map(|text| d.address("listen.grpc", &text)),
         operator: record.listen.operator.map(|text| d.address("listen.operator", &text)),
         inventory: folder.join(record.inventory.file),
         kept: folder.join(record.inventory.kept),
