--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -65,6 +65,9 @@
         /// Let the gateways take any server by chance, to compare with
         #[arg(long)]
         baseline: bool,
+        /// Which front all clients speak to, whatever the script says
+        #[arg(long, value_enum)]
+        front: Option<trial::FrontName>,
     },
     /// Run one stand-in model server
     StandIn {
@@ -92,6 +95,9 @@
         /// The chat API of a gateway
         #[arg(long, default_value = "127.0.0.1:8080")]
         to: SocketAddr,
+        /// Then the same by its gRPC front
+        #[arg(long)]
+        grpc: Option<SocketAddr>,
         /// Then the same straight at this reader, with --writer
         #[arg(long, requires = "writer")]
         reader: Option<SocketAddr>,
@@ -134,14 +140,16 @@
         What::Serve { settings } => serve::serve(&settings),
         What::Check { settings } => serve::check(&settings),
         What::Try { listen } => trial::try_out(listen),
-        What::Rehearse { script, record, baseline } => trial::rehearse(&script, record.as_deref(), baseline),
+        What::Rehearse { script, record, baseline, front } => {
+            trial::rehearse(&script, record.as_deref(), baseline, front)
+        }
         What::StandIn { role, listen, name, cold, slots, token_ms } => {
             trial::stand_in(role, listen, &name, cold, slots, token_ms)
         }
-        What::Load { to, reader, writer, streams, tokens, seconds, model, key } => {
+        What::Load { to, grpc, reader, writer, streams, tokens, seconds, model, key } => {
             let lasts = std::time::Duration::from_secs(seconds);
             let direct = reader.zip(writer);
-            trial::load(to, direct, &load::Load { streams, tokens, lasts, model, key })
+            trial::load(to, grpc, direct, &load::Load { streams, tokens, lasts, model, key })
         }
     };
     match outcome {
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -22,6 +22,14 @@
     Mixed,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+pub enum FrontName {
+    Chat,
+    Grpc,
+    /// Every second client each
+    Both,
+}
+
 async fn stopped() -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|error| error.to_string())?;
     signals.next().await;
@@ -87,8 +95,21 @@
 }
 
 /// Plays a script and prints its figures. An error where a rule was broken or something was left behind.
-pub fn rehearse(file: &Path, record: Option<&Path>, baseline: bool) -> Result<(), String> {
-    let script = script::read(file).map_err(|problem| problem.to_string())?;
+pub fn rehearse(
+    file: &Path,
+    record: Option<&Path>,
+    baseline: bool,
+    front: Option<FrontName>,
+) -> Result<(), String> {
+    let mut script = script::read(file).map_err(|problem| problem.to_string())?;
+    if let Some(front) = front {
+        let front = match front {
+            FrontName::Chat => script::Fronts::Chat,
+            FrontName::Grpc => script::Fronts::Grpc,
+            FrontName::Both => script::Fronts::Both,
+        };
+        script.clients.iter_mut().for_each(|clients| clients.front = front);
+    }
     let folder = std::env::temp_dir().join(format!("petrelshore-rehearse-{}", std::process::id()));
     let executor = Rc::new(LocalExecutor::new());
     println!("rehearsing {}: {} s and what follows", script.name, script.lasts_ms / 1e3);
@@ -150,12 +171,14 @@
 /// Keeps streams going, through the gateway and then, where asked for, straight at the servers.
 pub fn load(
     to: SocketAddr,
+    grpc: Option<SocketAddr>,
     direct: Option<(SocketAddr, SocketAddr)>,
     load: &load::Load,
 ) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
     let ways = [("gateway", load::Way::Gateway(to))]
         .into_iter()
+        .chain(grpc.map(|to| ("gateway by gRPC", load::Way::Grpc(to))))
         .chain(direct.map(|(reader, writer)| ("direct", load::Way::Direct { reader, writer })));
     for (name, way) in ways {
         let times = future::block_on(executor.run(load::run(&executor, way, load)))?;
--- a/conductor/src/desk.rs
+++ b/conductor/src/desk.rs
@@ -10,7 +10,7 @@
 use crate::limits::{NoRoom, Room};
 use crate::policy::Chooser;
 use crate::proof::Ending;
-use crate::releases::{Release, Releases};
+use crate::releases::{Release, Releases, State, Word};
 use crate::replays::{self, Ended, Known, Replays};
 use crate::withdrawals::Withdrawals;
 use crate::{Action, Conductor, Counts, Dispatch, NewSequence, Reason, Relay, pace};
@@ -273,7 +273,7 @@
         match self.tickets.get_mut(&dispatch.id) {
             Some(ticket) => ticket.states.push((release, params)),
             // Nobody is left to take it.
-            None => return self.owe(now, release, out),
+            None => return self.owe(now, release, State::Held, out),
         }
         self.ended(now, dispatch, Ending::ReadDone { kept }, out);
     }
@@ -317,7 +317,12 @@
 
     /// An attempt has ended, as its socket showed.
     pub fn ended(&mut self, now: Nanos, dispatch: &Dispatch, ending: Ending, out: &mut Vec<Order<P>>) {
-        let Dispatch { id, attempt, server, .. } = *dispatch;
+        let Dispatch { id, attempt, server, step, .. } = *dispatch;
+        let read = matches!(ending, Ending::ReadDone { .. });
+        if step == Step::Read && !read && !ending.proves_unrun() {
+            // Its answer is lost; the state may be there all the same.
+            self.owe(now, Release { server, request: request_id(id, attempt) }, State::CutOff, out);
+        }
         if ending == Ending::NotConnected {
             self.releases.started_anew(server);
         }
@@ -353,8 +358,8 @@
     }
 
     /// A reader has answered a release, or provably runs no more.
-    pub fn let_go(&mut self, release: &Release) {
-        self.releases.settled(release);
+    pub fn let_go(&mut self, now: Nanos, release: &Release, word: Word) {
+        self.releases.told(now, release, word);
     }
 
     /// How long a reader may take to answer a release.
@@ -431,7 +436,12 @@
                     out.push(Order::Cancel { id, attempt });
                     if step == Step::Read {
                         // It may have ended just then, and its state be left there.
-                        self.owe(now, Release { server, request: request_id(id, attempt) }, out);
+                        self.owe(
+                            now,
+                            Release { server, request: request_id(id, attempt) },
+                            State::CutOff,
+                            out,
+                        );
                     }
                 }
                 Action::Release { id } => self.release(now, id, out),
@@ -511,12 +521,12 @@
     fn release(&mut self, now: Nanos, id: SeqId, out: &mut Vec<Order<P>>) {
         let states = self.tickets.get_mut(&id).map(|ticket| std::mem::take(&mut ticket.states));
         for (release, _) in states.into_iter().flatten() {
-            self.owe(now, release, out);
+            self.owe(now, release, State::Held, out);
         }
     }
 
-    fn owe(&mut self, now: Nanos, release: Release, out: &mut Vec<Order<P>>) {
-        if self.releases.owe(now, &release) {
+    fn owe(&mut self, now: Nanos, release: Release, state: State, out: &mut Vec<Order<P>>) {
+        if self.releases.owe(now, &release, state) {
             out.push(Order::LetGo(release));
         }
     }
--- a/conductor/src/releases.rs
+++ b/conductor/src/releases.rs
@@ -3,6 +3,10 @@
 //! Rule 5 gives a release little time, and a message can get lost, so each is told again until its reader has
 //! answered. A reader that can't be reached gets the message for as long as it may still hold the state: readers
 //! drop what nobody fetched after a time of their own.
+//!
+//! A read that was cut off may still reach its reader after the release did: the two ride on different connections.
+//! Its reader then answers that it holds nothing, and holds a state a moment later. So for such a read an answer
+//! settles nothing until the read can no longer be on its way.
 
 use petrelshore::interface::{Nanos, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +19,26 @@
 /// More than this are not remembered: the oldest is dropped, and counted.
 const MOST: usize = 10_000;
 
+/// A read that was cut off may come to its reader for this long after.
+const ON_ITS_WAY: Nanos = 2_000_000_000;
+
+/// What is known of the state that is to be let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The reader has said that it holds it.
+    Held,
+    /// Its read was cut off: it may be held, never be held, or be held a moment later.
+    CutOff,
+}
+
+/// What came of telling a reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Answered,
+    /// It provably does not run, or is not known any more.
+    Gone,
+}
+
 /// Tells a reader to let go of what it holds for a request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Release {
@@ -24,6 +48,8 @@
 
 struct Owed {
     since: Nanos,
+    /// Answers before this settle nothing.
+    settles_from: Nanos,
     next: Nanos,
     wait: Nanos,
 }
@@ -43,7 +69,7 @@
     }
 
     /// A state is to be let go of: tell its reader now. False where that is owed already.
-    pub fn owe(&mut self, now: Nanos, release: &Release) -> bool {
+    pub fn owe(&mut self, now: Nanos, release: &Release, state: State) -> bool {
         if self.owed.contains_key(release) {
             return false;
         }
@@ -51,13 +77,24 @@
             self.drop_oldest();
         }
         let wait = self.answer_within();
+        let settles_from = match state {
+            State::Held => now,
+            State::CutOff => now.saturating_add(ON_ITS_WAY),
+        };
         self.due.insert((now + wait, release.clone()));
-        self.owed.insert(release.clone(), Owed { since: now, next: now + wait, wait });
+        self.owed.insert(release.clone(), Owed { since: now, settles_from, next: now + wait, wait });
         true
     }
 
     /// Its reader has answered, or provably runs no more.
-    pub fn settled(&mut self, release: &Release) {
+    pub fn told(&mut self, now: Nanos, release: &Release, word: Word) {
+        let early = self.owed.get(release).is_some_and(|owed| now < owed.settles_from);
+        if word == Word::Gone || !early {
+            self.settled(release);
+        }
+    }
+
+    fn settled(&mut self, release: &Release) {
         if let Some(owed) = self.owed.remove(release) {
             self.due.remove(&(owed.next, release.clone()));
         }
--- a/conductor/src/windows.rs
+++ b/conductor/src/windows.rs
@@ -1,9 +1,10 @@
-//! Whose fault it is that a connection of many streams takes nothing more.
+//! What each stream of a connection may have on its way, and whose fault it is when none goes on.
 //!
 //! Streams of one connection share its window. A client that does not read one of them leaves that stream's bytes in
-//! the shared window, until nothing is left for the others. Then the stream that holds most of it is ended, so that
-//! the others go on; one at a time, since ending it gives its bytes back at once with most clients. Streams that only
-//! wait for the window are not at fault, however long.
+//! the shared window, until nothing is left for the others. So no stream may hold more of it than a part that leaves
+//! the others room; that part is more than a client that reads takes before it gives back. Several such streams can
+//! still use the window up. Then the one that holds most is ended, so that the others go on; one at a time, since
+//! ending it gives its bytes back at once with most clients. Streams that only wait are not at fault, however long.
 
 use petrelshore::interface::Nanos;
 use std::collections::BTreeMap;
@@ -11,6 +12,9 @@
 const SECOND: Nanos = 1_000_000_000;
 /// Windows before a peer says otherwise, by the protocol.
 const DEFAULT: i64 = 65_535;
+/// The part of the connection's window that one stream may hold. Clients give back when half of a stream's own
+/// window is read, so it must be more than half.
+const HOLDS: f64 = 0.625;
 /// A window with less than this left is used up: no message fits.
 const USED_UP: i64 = 64;
 /// The whole connection may stand still for so long before a stream is ended for it, and again so long after.
@@ -20,49 +24,60 @@
 
 pub type StreamId = u32;
 
-#[derive(Debug, Default)]
-struct Stream {
-    /// Bytes sent that the peer has not given back.
-    out: i64,
-}
-
 #[derive(Debug)]
 pub struct Windows {
-    left: i64,
-    streams: BTreeMap<StreamId, Stream>,
+    /// The connection's window when nothing is out, as far as the peer has told.
+    whole: i64,
+    /// Bytes sent that the peer has not given back to the connection.
+    out: i64,
+    /// The same for each open stream.
+    streams: BTreeMap<StreamId, i64>,
     /// Since when nothing could be sent, and nothing was given back.
     still_since: Option<Nanos>,
 }
 
 impl Default for Windows {
     fn default() -> Self {
-        Windows { left: DEFAULT, streams: BTreeMap::new(), still_since: None }
+        Windows { whole: DEFAULT, out: 0, streams: BTreeMap::new(), still_since: None }
     }
 }
 
 impl Windows {
+    pub fn opened(&mut self, stream: StreamId) {
+        self.streams.insert(stream, 0);
+    }
+
+    /// Bytes that a stream may send now, as far as the others are concerned; the protocol's windows bound it too.
+    pub fn room(&self, stream: StreamId) -> usize {
+        let holds = self.streams.get(&stream).copied().unwrap_or(0);
+        ((self.whole as f64 * HOLDS) as i64 - holds).max(0) as usize
+    }
+
     /// A stream has sent so many bytes.
     pub fn sent(&mut self, now: Nanos, stream: StreamId, bytes: usize) {
-        self.left -= bytes as i64;
-        self.streams.entry(stream).or_default().out += bytes as i64;
-        if self.left < USED_UP {
+        self.out += bytes as i64;
+        if let Some(out) = self.streams.get_mut(&stream) {
+            *out += bytes as i64;
+        }
+        if self.left() < USED_UP {
             self.still_since.get_or_insert(now);
         }
     }
 
     /// The peer gave back so many bytes, of a stream or, for stream 0, of the connection.
     pub fn given(&mut self, now: Nanos, stream: StreamId, bytes: u32) {
-        match stream {
-            0 => {
-                self.left = self.left.saturating_add(i64::from(bytes));
-                self.still_since = (self.left < USED_UP).then_some(now);
-            }
-            stream => {
-                if let Some(of) = self.streams.get_mut(&stream) {
-                    of.out = (of.out - i64::from(bytes)).max(0);
-                }
+        let bytes = i64::from(bytes);
+        if stream != 0 {
+            if let Some(out) = self.streams.get_mut(&stream) {
+                // What is given beyond that enlarges the stream's own window, which is not counted here.
+                *out = (*out - bytes).max(0);
             }
+            return;
         }
+        // What is given beyond what is out enlarges the window.
+        self.whole = self.whole.saturating_add((bytes - self.out).max(0)).min(i64::from(i32::MAX));
+        self.out = (self.out - bytes).max(0);
+        self.still_since = (self.left() < USED_UP).then_some(now);
     }
 
     /// A stream is over. What it had out counts against the connection until the peer gives it back.
@@ -80,9 +95,13 @@
         let since = self.still_since.filter(|since| now >= since + STANDSTILL)?;
         // Ending one must have had its time to help before the next goes.
         self.still_since = Some(now.max(since));
-        let all: i64 = self.streams.values().map(|stream| stream.out).sum();
-        let (id, most) = self.streams.iter().max_by_key(|(id, stream)| (stream.out, **id))?;
+        let all: i64 = self.streams.values().sum();
+        let (id, most) = self.streams.iter().max_by_key(|(id, out)| (**out, **id))?;
         let alone = self.streams.len() == 1;
-        (!alone && most.out > 0 && most.out as f64 >= PART * all as f64).then_some(*id)
+        (!alone && *most > 0 && *most as f64 >= PART * all as f64).then_some(*id)
+    }
+
+    fn left(&self) -> i64 {
+        self.whole - self.out
     }
 }
--- a/conductor/tests/desk.rs
+++ b/conductor/tests/desk.rs
@@ -4,6 +4,7 @@
 use petrelshore_conductor::desk::{Desk, Final, Order, Piece, Refusal, Request, Sending, Taken, Usage};
 use petrelshore_conductor::intake::{Message, weigh};
 use petrelshore_conductor::proof::Ending;
+use petrelshore_conductor::releases::Word;
 use petrelshore_conductor::{Chooser, Reason, Relay};
 use std::rc::Rc;
 
@@ -128,7 +129,7 @@
     });
     let release = told.unwrap_or_else(|| panic!("nothing is let go: {out:?}"));
     assert_eq!((desk.held(), desk.releases_owed()), (0, 1));
-    desk.let_go(&release);
+    desk.let_go(3 * MS, &release, Word::Answered);
     assert_eq!(desk.releases_owed(), 0);
     // Its writer may have run: the key must not run it again.
     let last = Final::Aborted { reason: Reason::Repeated };
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -3,8 +3,10 @@
 use petrelshore_conductor::connections::Connections;
 use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::limits::{NoRoom, Room};
-use petrelshore_conductor::releases::{Release, Releases};
+use petrelshore_conductor::manners::{Bad, Due, Heard, Manners};
+use petrelshore_conductor::releases::{Release, Releases, State, Word};
 use petrelshore_conductor::replays::{Ended, Known, Replays};
+use petrelshore_conductor::windows::Windows;
 use petrelshore_conductor::withdrawals::Withdrawals;
 use petrelshore_conductor::{intake, pace};
 
@@ -79,7 +81,7 @@
 fn a_release_is_told_again_until_it_is_answered_and_not_for_ever() {
     let release = Release { server: petrelshore::interface::ServerId(1), request: "a-0".to_owned() };
     let mut releases = Releases::new(400 * MS);
-    assert!(releases.owe(0, &release) && !releases.owe(0, &release));
+    assert!(releases.owe(0, &release, State::Held) && !releases.owe(0, &release, State::Held));
     let mut told = Vec::new();
     while let Some(due) = releases.next_due() {
         told.extend(releases.due(due).iter().map(|_| due));
@@ -87,10 +89,10 @@
     assert_eq!(&told[..3], &[100 * MS, 300 * MS, 700 * MS]);
     assert!(told.len() < 30 && told.last().is_some_and(|at| *at < 61 * S));
     assert_eq!((releases.owed(), releases.lost()), (0, 1));
-    releases.owe(0, &release);
-    releases.settled(&release);
+    releases.owe(0, &release, State::Held);
+    releases.told(0, &release, Word::Answered);
     assert_eq!((releases.owed(), releases.next_due(), releases.lost()), (0, None, 1));
-    releases.owe(0, &release);
+    releases.owe(0, &release, State::Held);
     releases.started_anew(release.server);
     assert_eq!((releases.owed(), releases.next_due()), (0, None));
 }
@@ -191,3 +193,135 @@
     assert!(withdrawals.remembered() <= 4_096, "{}", withdrawals.remembered());
     assert!(withdrawals.may_ask(S, (7, None)).is_err(), "the worst was forgotten");
 }
+
+#[test]
+fn pings_for_nothing_are_bad_manners_and_those_that_measure_a_path_are_not() {
+    let mut manners = Manners::new(0, 100);
+    // A client that measures its path: a ping for each burst that it gets, forty a second.
+    for event in 1..10_000 {
+        manners.sent();
+        manners.heard(event * 25 * MS, Heard::Ping);
+    }
+    assert_eq!(manners.bad(), None);
+    // One that keeps an idle connection alive every ten seconds.
+    (1..100).for_each(|event| manners.heard(300 * S + event * 10 * S, Heard::Ping));
+    assert_eq!(manners.bad(), None);
+    let mut flood = Manners::new(0, 100);
+    let first = (1..1000).find(|event| {
+        flood.heard(event * MS, Heard::Ping);
+        flood.bad().is_some()
+    });
+    assert_eq!((first, flood.bad()), (Some(10), Some(Bad::Pings)));
+    // On a stream that runs, a flood of pings is one all the same.
+    let mut flood = Manners::new(0, 100);
+    (0..1000).for_each(|event| {
+        flood.sent();
+        flood.heard(event * MS, Heard::Ping);
+    });
+    assert_eq!(flood.bad(), Some(Bad::Pings));
+}
+
+#[test]
+fn all_calls_may_be_reset_at_once_and_resets_without_end_may_not() {
+    let mut manners = Manners::new(0, 1000);
+    for round in 1..20 {
+        (0..1000).for_each(|_| manners.heard(round * 10 * S, Heard::Reset));
+    }
+    assert_eq!(manners.bad(), None);
+    let mut flood = Manners::new(0, 1000);
+    (0..5000).for_each(|event| flood.heard(event * MS, Heard::Reset));
+    assert_eq!(flood.bad(), Some(Bad::Resets));
+    for (what, bad) in [(Heard::Settings, Bad::Settings), (Heard::Small, Bad::SmallFrames)] {
+        let mut flood = Manners::new(0, 1000);
+        (0..50_000).for_each(|event| flood.heard(event * MS / 100, what));
+        assert_eq!(flood.bad(), Some(bad));
+    }
+}
+
+#[test]
+fn a_peer_with_calls_that_says_nothing_is_asked_and_then_gone() {
+    let mut manners = Manners::new(0, 10);
+    manners.opened();
+    manners.heard(S, Heard::Call);
+    assert_eq!((manners.next_due(), manners.due(15 * S)), (16 * S, None));
+    assert_eq!((manners.due(16 * S), manners.due(17 * S)), (Some(Due::Ask), None));
+    // Any word of it is an answer.
+    manners.heard(18 * S, Heard::Small);
+    assert_eq!((manners.next_due(), manners.due(33 * S)), (33 * S, Some(Due::Ask)));
+    assert_eq!((manners.due(42 * S), manners.due(43 * S)), (None, Some(Due::Gone)));
+    // Without calls nobody asks; the connection is closed when it is idle for long.
+    let mut idle = Manners::new(0, 10);
+    idle.opened();
+    idle.closed(S);
+    assert_eq!((idle.due(299 * S), idle.due(301 * S)), (None, Some(Due::Close)));
+}
+
+#[test]
+fn a_stream_that_is_not_read_leaves_the_others_room() {
+    let mut windows = Windows::default();
+    (1..=9).step_by(2).for_each(|stream| windows.opened(stream));
+    // Stream 1 is never read, and sends whatever it may.
+    let all = windows.room(1);
+    windows.sent(0, 1, all);
+    assert_eq!((all, windows.room(1)), (40_959, 0));
+    // The others are read: each gives back what it was sent, and none of them ever lacks room.
+    for turn in 0..10_000 {
+        let stream = 3 + 2 * (turn % 4);
+        assert!(windows.room(stream) >= 1000, "turn {turn}");
+        windows.sent(turn as u64, stream, 1000);
+        windows.given(turn as u64, stream, 1000);
+        windows.given(turn as u64, 0, 1000);
+    }
+    assert_eq!((windows.next_due(), windows.to_end(100 * S)), (None, None));
+    // A client that tells a larger window gives each more of it.
+    windows.given(0, 0, 1_000_000);
+    assert!(windows.room(1) > 500_000);
+}
+
+#[test]
+fn of_a_connection_that_stands_still_the_stream_that_holds_most_is_ended_and_no_other_at_once() {
+    let mut windows = Windows::default();
+    (1..=7).step_by(2).for_each(|stream| windows.opened(stream));
+    windows.sent(S, 1, 40_000);
+    windows.sent(S, 3, 25_000);
+    windows.sent(S, 5, 535);
+    assert_eq!((windows.to_end(3 * S), windows.next_due()), (None, Some(4 * S)));
+    assert_eq!((windows.to_end(4 * S), windows.to_end(5 * S)), (Some(1), None));
+    windows.closed(1);
+    // It helped: its bytes are given back.
+    windows.given(5 * S, 0, 40_000);
+    assert_eq!((windows.next_due(), windows.to_end(60 * S)), (None, None));
+    // A crowd of equals is not at fault one by one, and nor is a stream that is alone.
+    let mut crowd = Windows::default();
+    (0..100).for_each(|stream| {
+        crowd.opened(stream + 1);
+        crowd.sent(0, stream + 1, 656);
+    });
+    assert_eq!(crowd.to_end(60 * S), None);
+    let mut alone = Windows::default();
+    alone.opened(1);
+    alone.sent(0, 1, 65_535);
+    assert_eq!(alone.to_end(60 * S), None);
+}
+
+#[test]
+fn the_state_of_a_read_that_was_cut_off_is_asked_for_until_the_read_can_no_longer_come() {
+    let release = Release { server: petrelshore::interface::ServerId(1), request: "a-0".to_owned() };
+    let mut releases = Releases::new(400 * MS);
+    assert!(releases.owe(0, &release, State::CutOff));
+    // Its reader holds nothing yet, and says so; the read is still on its way.
+    releases.told(MS, &release, Word::Answered);
+    let mut told = Vec::new();
+    while let Some(due) = releases.next_due().filter(|due| *due < 10 * S) {
+        if !releases.due(due).is_empty() {
+            told.push(due);
+            releases.told(due + MS, &release, Word::Answered);
+        }
+    }
+    assert!(told[0] <= 100 * MS && told.iter().any(|at| *at >= 2 * S), "{told:?}");
+    assert!(told.len() <= 8 && releases.owed() == 0, "{told:?}");
+    // A reader that provably does not run holds nothing, and nothing is on its way to it.
+    releases.owe(0, &release, State::CutOff);
+    releases.told(MS, &release, Word::Gone);
+    assert_eq!(releases.owed(), 0);
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use petrelshore::interface::*;
 use petrelshore_conductor::desk::{Desk, Final, Order, Piece, Refusal, Sending, Taken};
 use petrelshore_conductor::proof::Ending;
-use petrelshore_conductor::releases::Release;
+use petrelshore_conductor::releases::{Release, Word};
 use petrelshore_conductor::{Chooser, Counts, Dispatch};
 use petrelshore_engine::{Client, Load, Spawner, WriteRequest};
 use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
@@ -463,16 +463,19 @@
     /// Tells a reader once. The desk has it told again until it has answered, or is known to hold nothing.
     fn let_go(self: &Rc<Self>, release: Release) {
         let Some(to) = self.addresses.borrow().get(&release.server).copied() else {
-            return self.desk.borrow_mut().let_go(&release);
+            return self.desk.borrow_mut().let_go(self.clock.now(), &release, Word::Gone);
         };
         let inner = self.clone();
         let within = Duration::from_nanos(self.desk.borrow().release_within());
         self.spawner.run(async move {
             let told = inner.client.release(to, &release.request, within).await;
             debug!(request = %release.request, %to, ?told, "release");
-            if matches!(told, Ok(()) | Err(Ending::NotConnected)) {
-                inner.desk.borrow_mut().let_go(&release);
-            }
+            let word = match told {
+                Ok(()) => Word::Answered,
+                Err(Ending::NotConnected) => Word::Gone,
+                Err(_) => return,
+            };
+            inner.desk.borrow_mut().let_go(inner.clock.now(), &release, word);
         });
     }
 
--- a/grpc/src/connection.rs
+++ b/grpc/src/connection.rs
@@ -89,6 +89,7 @@
     fn new(line: Rc<Line>, id: StreamId) -> Self {
         let cut = Rc::new(Cut::default());
         line.known.manners.borrow_mut().opened();
+        line.known.windows.borrow_mut().opened(id);
         line.calls.borrow_mut().insert(id, cut.clone());
         Place { line, id, cut }
     }
@@ -116,7 +117,12 @@
     let limits = gateway.settings().limits;
     let clock = gateway.clock();
     let manners = Manners::new(clock.now(), limits.streams as usize);
-    let known = Rc::new(Known { clock, manners: RefCell::new(manners), windows: RefCell::default() });
+    let known = Rc::new(Known {
+        clock,
+        manners: RefCell::new(manners),
+        windows: RefCell::default(),
+        given: Event::new(),
+    });
     let socket = Watch::new(StallGuard::new(stream, stalled_for()), known.clone()).compat();
     let mut builder = Builder::new();
     builder
--- a/grpc/src/exchange.rs
+++ b/grpc/src/exchange.rs
@@ -276,13 +276,8 @@
     /// Sends bytes as the client's windows allow. Where `answer` is given up while they wait, they wait no longer.
     async fn send(&mut self, mut bytes: Bytes, mut answer: Option<&mut Answer>) -> Result<(), Told> {
         while !bytes.is_empty() {
-            let Some(sending) = &mut self.sending else { return Err(Told::Gone) };
-            sending.reserve_capacity(bytes.len());
-            let capacity = match sending.capacity() {
-                0 => self.capacity(answer.as_deref_mut()).await?,
-                capacity => capacity,
-            };
-            let part = bytes.split_to(capacity.min(bytes.len()));
+            let room = self.room(bytes.len(), answer.as_deref_mut()).await?;
+            let part = bytes.split_to(room);
             let known = &self.place.line.known;
             known.windows.borrow_mut().sent(known.clock.now(), self.place.id, part.len());
             known.manners.borrow_mut().sent();
@@ -292,30 +287,38 @@
         Ok(())
     }
 
+    /// How much of so many bytes may go now; one byte at the least.
+    async fn room(&mut self, bytes: usize, answer: Option<&mut Answer>) -> Result<usize, Told> {
+        let Some(sending) = &mut self.sending else { return Err(Told::Gone) };
+        let shared = self.place.line.known.windows.borrow().room(self.place.id);
+        sending.reserve_capacity(bytes.min(shared));
+        match sending.capacity().min(bytes).min(shared) {
+            0 => self.wait_for_room(bytes, answer).await,
+            room => Ok(room),
+        }
+    }
+
     /// Waits for room in the client's windows. Guards against a client that never makes any: its end comes all the
     /// same, since trailers need no window.
-    async fn capacity(&mut self, answer: Option<&mut Answer>) -> Result<usize, Told> {
-        let clock = self.place.line.known.clock;
+    async fn wait_for_room(&mut self, bytes: usize, answer: Option<&mut Answer>) -> Result<usize, Told> {
+        let known = self.place.line.known.clone();
+        let clock = known.clock;
         let stalled_by = clock.now() + pace::stalled_for();
         let by = self.whole_by.unwrap_or(Nanos::MAX).min(stalled_by);
         let reason = if by < stalled_by { Reason::OutOfTime } else { Reason::Stalled };
         let cut = self.place.cut.clone();
         let given = async {
-            let room = |context: &mut Context<'_>| {
-                let Some(sending) = &mut self.sending else { return Poll::Ready(Err(Told::Gone)) };
-                if sending.poll_reset(context).is_ready() {
-                    return Poll::Ready(Err(Told::Gone));
-                }
-                loop {
-                    match sending.poll_capacity(context) {
-                        Poll::Ready(Some(Ok(0))) => {}
-                        Poll::Ready(Some(Ok(capacity))) => return Poll::Ready(Ok(capacity)),
-                        Poll::Ready(_) => return Poll::Ready(Err(Told::Gone)),
-                        Poll::Pending => return Poll::Pending,
-                    }
+            loop {
+                let given = known.given.listen();
+                let shared = known.windows.borrow().room(self.place.id).min(bytes);
+                if shared == 0 {
+                    self.unless_gone(given).await?;
+                    continue;
                 }
-            };
-            std::future::poll_fn(room).await
+                let Some(sending) = &mut self.sending else { return Err(Told::Gone) };
+                sending.reserve_capacity(shared);
+                return self.capacity().await.map(|capacity| capacity.min(shared));
+            }
         };
         let given_up = async {
             let Some(answer) = answer else { return future::pending().await };
@@ -333,6 +336,27 @@
         future::or(given, future::or(given_up, future::or(told, late))).await
     }
 
+    /// Waits for what was reserved, or a part of it.
+    async fn capacity(&mut self) -> Result<usize, Told> {
+        let sending = self.sending.as_mut().ok_or(Told::Gone)?;
+        let room = |context: &mut Context<'_>| {
+            if sending.poll_reset(context).is_ready() {
+                return Poll::Ready(Err(Told::Gone));
+            }
+            loop {
+                if sending.capacity() > 0 {
+                    return Poll::Ready(Ok(sending.capacity()));
+                }
+                match sending.poll_capacity(context) {
+                    Poll::Ready(Some(Ok(_))) => {}
+                    Poll::Ready(_) => return Poll::Ready(Err(Told::Gone)),
+                    Poll::Pending => return Poll::Pending,
+                }
+            }
+        };
+        std::future::poll_fn(room).await
+    }
+
     /// The end of the call.
     fn end(mut self, ended: Result<(), Told>) {
         let status = match ended {
--- a/grpc/src/watch.rs
+++ b/grpc/src/watch.rs
@@ -3,6 +3,7 @@
 //! The HTTP/2 library answers pings and settings by itself and tells nobody. Only frame heads are read here, and the
 //! few bytes of window updates; the library reads everything again and judges it.
 
+use event_listener::Event;
 use futures_lite::{AsyncRead, AsyncWrite};
 use petrelshore::interface::Nanos;
 use petrelshore_conductor::manners::{Heard, Manners};
@@ -23,6 +24,8 @@
     pub clock: Clock,
     pub manners: RefCell<Manners>,
     pub windows: RefCell<Windows>,
+    /// Told when the peer gave back of a stream.
+    pub given: Event,
 }
 
 pub struct Watch<S> {
@@ -82,6 +85,7 @@
     known.manners.borrow_mut().heard(now, heard);
     if let (8, Some(increment)) = (frame.kind, frame.increment) {
         known.windows.borrow_mut().given(now, frame.stream, increment);
+        known.given.notify(usize::MAX);
     }
 }
 
--- a/rehearsal/src/client.rs
+++ b/rehearsal/src/client.rs
@@ -28,15 +28,15 @@
 /// One question, in whatever protocol it is put.
 #[derive(Clone, Debug)]
 pub struct Question {
-    pub model: &'static str,
+    pub model: String,
     pub text: String,
     pub max_tokens: u64,
     pub headers: Vec<(&'static str, String)>,
 }
 
 impl Question {
-    pub fn new(model: &'static str, text: impl Into<String>, max_tokens: u64) -> Self {
-        Question { model, text: text.into(), max_tokens, headers: Vec::new() }
+    pub fn new(model: &str, text: impl Into<String>, max_tokens: u64) -> Self {
+        Question { model: model.to_owned(), text: text.into(), max_tokens, headers: Vec::new() }
     }
 
     pub fn with(mut self, name: &'static str, value: &str) -> Self {
@@ -49,7 +49,7 @@
         match front {
             Front::Chat => {
                 let headers: Vec<(&str, &str)> = self.headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
-                let body = chat_body(self.model, &self.text, self.max_tokens, true);
+                let body = chat_body(&self.model, &self.text, self.max_tokens, true);
                 exchange(at.chat, &request("/v1/chat/completions", &headers, &body), leave_after).await
             }
             Front::Grpc => crate::grpc_client::exchange(at.grpc, self, leave_after).await,
--- a/rehearsal/src/grpc_client.rs
+++ b/rehearsal/src/grpc_client.rs
@@ -19,7 +19,7 @@
 
 const UNREAD: usize = 64 << 20;
 
-type Sender = SendRequest<bytes::Bytes>;
+pub type Sender = SendRequest<bytes::Bytes>;
 /// Moves a connection on; a client polls it beside its calls.
 pub type Driver = h2::client::Connection<tokio_util::compat::Compat<TcpStream>, bytes::Bytes>;
 
@@ -41,7 +41,7 @@
 pub fn message(question: &Question) -> v1::ChatRequest {
     let text = |role: v1::Role, text: String| v1::Message { role: role.into(), text };
     v1::ChatRequest {
-        model: question.model.to_owned(),
+        model: question.model.clone(),
         messages: vec![text(v1::Role::System, shared_text()), text(v1::Role::User, question.text.clone())],
         max_tokens: Some(question.max_tokens as u32),
         ..Default::default()
@@ -93,6 +93,16 @@
 
 /// Reads an answer to its trailers.
 pub async fn read(response: ResponseFuture, started: Instant, seen: &mut Seen) {
+    read_with(response, started, seen, |_| ()).await;
+}
+
+/// The same, telling how many tokens came together each time.
+pub async fn read_with(
+    response: ResponseFuture,
+    started: Instant,
+    seen: &mut Seen,
+    mut came: impl FnMut(u64),
+) {
     let Ok(response) = response.await else { return };
     let mut ended = false;
     if response.headers().contains_key("grpc-status") {
@@ -124,6 +134,9 @@
             }
         }
         seen.came(started.elapsed().as_nanos() as Nanos, tokens, &mut last);
+        if tokens > 0 {
+            came(tokens);
+        }
     }
     if let Ok(Some(trailers)) = body.trailers().await {
         judge(&trailers, ended, seen);
--- a/rehearsal/src/load.rs
+++ b/rehearsal/src/load.rs
@@ -1,22 +1,29 @@
 //! Steady load: so many streams at once, through a gateway or straight at a reader and a writer, with times to the
 //! first token and between tokens.
 
-use crate::client::{chat_body, request};
+use crate::client::{Question, Seen, chat_body, request};
 use crate::fleet::Executor;
+use crate::grpc_client;
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hdrhistogram::Histogram;
+use petrelshore_stand_in::record::FinalSeen;
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Streams that share a connection where the protocol lets them.
+const ON_A_CONNECTION: usize = 100;
+
 /// Where streams go.
 #[derive(Clone, Copy, Debug)]
 pub enum Way {
     Gateway(SocketAddr),
+    /// The same gateway's gRPC front.
+    Grpc(SocketAddr),
     /// The two exchanges that a gateway would make, by the client itself.
     Direct {
         reader: SocketAddr,
@@ -56,18 +63,28 @@
     // Streams begin spread over the first fifth, and what begins there is not counted.
     let spread = load.lasts / 5;
     let counted = Instant::now() + spread;
+    let mut connections = Vec::new();
+    if let Way::Grpc(to) = way {
+        for _ in 0..load.streams.div_ceil(ON_A_CONNECTION) {
+            let (sender, driver) = grpc_client::connect(to).await.ok_or(format!("{to} is not reached"))?;
+            connections.push((sender, executor.spawn(async move { driver.await.err() })));
+        }
+    }
     let mut tasks = Vec::new();
     for number in 0..load.streams {
         let (times, load) = (times.clone(), load.clone());
+        let mut sender = connections.get(number / ON_A_CONNECTION).map(|(sender, _)| sender.clone());
         tasks.push(executor.spawn(async move {
             Timer::after(spread * number as u32 / load.streams as u32).await;
             let mut turn = 0;
             while Instant::now() < until {
                 turn += 1;
                 let began = Instant::now();
-                let done =
-                    stream(way, &load, &format!("stream {number} turn {turn}"), &times, began >= counted)
-                        .await;
+                let (asked, counts) = (format!("stream {number} turn {turn}"), began >= counted);
+                let done = match &mut sender {
+                    Some(sender) => multiplexed(sender, &load, &asked, &times, counts).await,
+                    None => stream(way, &load, &asked, &times, counts).await,
+                };
                 if done.is_none() {
                     times.borrow_mut().failed += 1;
                     Timer::after(Duration::from_millis(100)).await;
@@ -82,6 +99,47 @@
     Ok(times.into_inner())
 }
 
+impl Times {
+    /// Tokens have come together; tells when.
+    fn came(&mut self, began: Instant, last: Option<Instant>) -> Instant {
+        let now = Instant::now();
+        match last {
+            None => self.first.saturating_record((now - began).as_micros() as u64),
+            Some(last) => self.between.saturating_record((now - last).as_micros() as u64),
+        }
+        now
+    }
+}
+
+/// One answer on a shared connection; none where it did not come whole.
+async fn multiplexed(
+    sender: &mut grpc_client::Sender,
+    load: &Load,
+    question: &str,
+    times: &RefCell<Times>,
+    counted: bool,
+) -> Option<()> {
+    let began = Instant::now();
+    let mut question = Question::new(&load.model, question, load.tokens);
+    if let Some(key) = &load.key {
+        question = question.with("authorization", &format!("Bearer {key}"));
+    }
+    let response = grpc_client::call(sender, &question).await?;
+    let (mut seen, mut last) = (Seen::nothing(), None);
+    let came = |_| {
+        if counted {
+            last = Some(times.borrow_mut().came(began, last));
+        }
+    };
+    grpc_client::read_with(response, began, &mut seen, came).await;
+    if seen.finished != FinalSeen::Generated {
+        return None;
+    }
+    let mut times = times.borrow_mut();
+    (times.answers, times.tokens) = (times.answers + 1, times.tokens + seen.tokens);
+    Some(())
+}
+
 /// One answer; none where it did not come whole.
 async fn stream(way: Way, load: &Load, question: &str, times: &RefCell<Times>, counted: bool) -> Option<()> {
     let began = Instant::now();
@@ -99,6 +157,8 @@
             let params = answer.get("kv_transfer_params")?.clone();
             (writer, completion(load, question, load.tokens, true, params), b"\"text\":\"t")
         }
+        // Its streams share connections.
+        Way::Grpc(_) => return None,
     };
     let mut stream = TcpStream::connect(to).await.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -110,16 +170,10 @@
         tail.extend_from_slice(&part[..count]);
         let tokens = tail.windows(mark.len()).filter(|window| *window == mark).count() as u64;
         let done = tail.windows(12).any(|window| window == b"data: [DONE]");
-        let now = Instant::now();
         if tokens > 0 {
             if counted {
-                let mut times = times.borrow_mut();
-                match last {
-                    None => times.first.saturating_record(began.elapsed().as_micros() as u64),
-                    Some(last) => times.between.saturating_record((now - last).as_micros() as u64),
-                }
+                last = Some(times.borrow_mut().came(began, last));
             }
-            last = Some(now);
             seen += tokens;
         }
         if done {
--- /dev/null
+++ b/rehearsal/tests/grpc_cases.rs
@@ -0,0 +1,485 @@
+//! The hard cases that only the gRPC front has: its frames, windows, deadlines and floods, each on loopback through
+//! the whole program.
+
+mod world;
+
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use h2::client::ResponseFuture;
+use http::Request;
+use petrelshore_grpc::{SERVICE, v1};
+use petrelshore_rehearsal::client::{Front, Question, Seen};
+use petrelshore_rehearsal::grpc_client::{call, connect, framed, message, read};
+use petrelshore_stand_in::model::{Build, Fault};
+use petrelshore_stand_in::record::FinalSeen;
+use std::time::{Duration, Instant};
+use tonic::Code;
+use world::{LONG, World, case_of, quick, small};
+
+fn case<F: Future<Output = ()>>(name: &str, more: &str, run: impl Fn(World) -> F) {
+    case_of(Front::Grpc, name, &small(), more, quick, run);
+}
+
+fn chat(tokens: u64) -> Question {
+    Question::new("workshop-chat", "why", tokens)
+}
+
+/// A connection that is moved on beside the test; dropping it closes the connection.
+struct Line {
+    sender: h2::client::SendRequest<bytes::Bytes>,
+    driver: async_executor::Task<Option<h2::Error>>,
+}
+
+impl Line {
+    async fn open(world: &World) -> Line {
+        let (sender, driver) = connect(world.gateway.at.grpc).await.expect("the gateway listens");
+        Line { sender, driver: world.executor.spawn(async move { driver.await.err() }) }
+    }
+
+    async fn call(&mut self, question: &Question) -> ResponseFuture {
+        call(&mut self.sender, question).await.expect("the connection takes a call")
+    }
+
+    async fn ask(&mut self, question: &Question) -> Seen {
+        let response = self.call(question).await;
+        let mut seen = Seen::nothing();
+        let read = read(response, Instant::now(), &mut seen);
+        let late = async {
+            Timer::after(LONG).await;
+        };
+        future::or(read, late).await;
+        seen
+    }
+
+    /// Sends bytes as a call's body and returns the status that came.
+    async fn post(
+        &mut self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: bytes::Bytes,
+    ) -> (u16, Option<Code>) {
+        let mut request = Request::post(format!("http://gateway{path}")).header("te", "trailers");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        future::poll_fn(|context| self.sender.poll_ready(context)).await.expect("the connection lives");
+        let (response, mut sending) =
+            self.sender.send_request(request.body(()).unwrap(), false).expect("a call is sent");
+        let _ = sending.send_data(body, true);
+        let response = response.await.expect("an answer");
+        let code = response.headers().get("grpc-status").map(|code| Code::from_bytes(code.as_bytes()));
+        (response.status().as_u16(), code)
+    }
+}
+
+/// Waits until something holds.
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..400 {
+        if holds() {
+            return;
+        }
+        Timer::after(Duration::from_millis(25)).await;
+    }
+    panic!("it never came to this: {what}");
+}
+
+#[test]
+fn a_time_out_shorter_than_the_way_here_makes_no_work() {
+    case("grpc-short", "", |world| async move {
+        for time in ["1n", "900u", "4m", "0S"] {
+            let seen = world.ask_this(chat(3).with("grpc-timeout", time), LONG).await;
+            let said = (seen.status, seen.code.as_deref(), seen.retry_after);
+            assert_eq!(said, (Code::DeadlineExceeded as u16, Some("no_time"), None), "{time}: {seen:?}");
+        }
+        for time in ["", "5", "123456789S", "soon"] {
+            let seen =
+                Question::ask(&chat(3).with("grpc-timeout", time), Front::Grpc, world.gateway.at, LONG).await;
+            assert_eq!(seen.status, Code::InvalidArgument as u16, "{time}: {seen:?}");
+        }
+        assert_eq!((world.gateway.gateway.counts().taken, world.arrivals("read")), (0, 0));
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_deadline_ends_what_runs_before_the_client_does_so_itself() {
+    case("grpc-deadline", "", |world| async move {
+        // While the prompt waits, and while the answer runs.
+        world.fault("writer", Fault::Hangs);
+        let waits = world.ask_this(chat(5).with("grpc-timeout", "400m"), LONG).await;
+        assert!(matches!(waits.finished, FinalSeen::Aborted | FinalSeen::Rejected), "{waits:?}");
+        world.fault("writer", Fault::None);
+        let runs = world.ask_this(chat(400).with("grpc-timeout", "700m"), LONG).await;
+        let said = (runs.status, runs.finished, runs.retry_after);
+        assert_eq!(said, (Code::DeadlineExceeded as u16, FinalSeen::Aborted, None), "{runs:?}");
+        assert!(runs.tokens > 0 && runs.tokens < 400, "{runs:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_deadline_between_the_last_token_and_the_trailers_still_ends_the_call() {
+    case("grpc-trailers", "", |world| async move {
+        // The whole answer is there; the client's window holds but a part of it, until its time is up.
+        let stream = TcpStream::connect(world.gateway.at.grpc).await.unwrap();
+        let stream = tokio_util::compat::FuturesAsyncReadCompatExt::compat(stream);
+        let small = h2::client::Builder::new().initial_window_size(60).handshake(stream).await;
+        let (mut sender, driver) = small.expect("the gateway shakes hands");
+        let driver = world.executor.spawn(async move { driver.await.unwrap_or_default() });
+        let response = call(&mut sender, &chat(8).with("grpc-timeout", "1500m")).await.unwrap();
+        let body = response.await.expect("it began").into_body();
+        until("generated", || world.gateway.gateway.counts().generated == 1).await;
+        let mut body = body;
+        let mut given = 0;
+        let status = loop {
+            match body.data().await {
+                // Nothing is given back of what is read.
+                Some(Ok(bytes)) => given += bytes.len(),
+                Some(Err(error)) => panic!("{error}"),
+                None => break body.trailers().await.unwrap().expect("trailers"),
+            }
+        };
+        assert!(given <= 60, "{given} bytes are more than its window");
+        assert_eq!(Code::from_bytes(status["grpc-status"].as_bytes()), Code::DeadlineExceeded);
+        assert_eq!(status["grpc-retry-pushback-ms"], "-1");
+        drop(driver);
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_reset_in_the_middle_of_a_read_or_a_write_ends_only_that_call() {
+    let slow = |build: Build| Build { read_tokens_per_second: 300.0, ..quick(build) };
+    case_of(Front::Grpc, "grpc-reset", &small(), "", slow, |world| async move {
+        let mut line = Line::open(&world).await;
+        let response = line.call(&chat(50)).await;
+        until("it is read", || world.arrivals("read") == 1).await;
+        drop(response);
+        until("withdrawn", || world.gateway.gateway.counts().withdrawn == 1).await;
+        assert_eq!(world.arrivals("write"), 0);
+        let response = line.call(&chat(2000)).await;
+        let mut body = response.await.expect("it is written").into_body();
+        assert!(body.data().await.is_some_and(|part| part.is_ok()));
+        drop(body);
+        until("withdrawn", || world.gateway.gateway.counts().withdrawn == 2).await;
+        // The connection serves on.
+        let seen = line.ask(&chat(3)).await;
+        assert_eq!((seen.finished, seen.tokens), (FinalSeen::Generated, 3), "{seen:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn on_a_drain_running_calls_end_whole_and_new_ones_are_told_to_go_elsewhere() {
+    case("grpc-drain", "", |world| async move {
+        let mut line = Line::open(&world).await;
+        let running = line.call(&chat(200)).await;
+        until("it is written", || world.arrivals("write") == 1).await;
+        let gateway = world.gateway.gateway.clone();
+        let drain = world.executor.spawn(async move { gateway.drain().await });
+        until("draining", || world.gateway.gateway.draining()).await;
+        // A new connection is told GOAWAY at once; a call that crosses it is refused, and may come again elsewhere.
+        let refused = chat(3).ask(Front::Grpc, world.gateway.at, LONG).await;
+        assert!(refused.finished == FinalSeen::Nothing || refused.retry_after.is_some(), "{refused:?}");
+        assert_eq!(world.gateway.gateway.counts().taken, 1);
+        let mut seen = Seen::nothing();
+        read(running, Instant::now(), &mut seen).await;
+        assert_eq!((seen.finished, seen.tokens), (FinalSeen::Generated, 200), "{seen:?}");
+        assert_eq!(drain.await, 0, "nothing had to be ended");
+        // It was told to go: the connection is over by the gateway's word, without an error.
+        assert!(line.driver.await.is_none_or(|error| error.reason() == Some(h2::Reason::NO_ERROR)));
+        let again = call(&mut line.sender, &chat(3)).await;
+        assert!(again.is_none(), "a call was taken after GOAWAY");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn more_calls_at_once_than_a_connection_may_carry_wait_at_the_client_or_are_refused_unrun() {
+    case("grpc-streams", "limits.streams = 4", |world| async move {
+        let mut line = Line::open(&world).await;
+        let first = line.ask(&chat(2)).await;
+        assert_eq!(first.finished, FinalSeen::Generated, "{first:?}");
+        assert_eq!(line.sender.current_max_send_streams(), 4);
+        // A client that heeds nothing: six at once, of which two are refused as never run.
+        let mut raw = Raw::open(&world).await;
+        let six: Vec<u8> = (0..6).flat_map(|number| raw_call(1 + 2 * number, &chat(60))).collect();
+        raw.send(&six).await;
+        let refused = raw.frames_until(|frames| resets(frames).len() >= 2).await;
+        const REFUSED_STREAM: u32 = 7;
+        assert_eq!(resets(&refused)[..2], [(9, REFUSED_STREAM), (11, REFUSED_STREAM)]);
+        until("four are answered", || world.gateway.gateway.counts().generated == 5).await;
+        assert_eq!(world.gateway.gateway.counts().taken, 5);
+        world.clean().await;
+    });
+}
+
+#[test]
+fn bad_messages_wrong_services_and_missing_fields_get_their_status_and_take_nothing() {
+    case("grpc-bad", "", |world| async move {
+        let mut line = Line::open(&world).await;
+        let stream = format!("/{SERVICE}/Stream");
+        let grpc = [("content-type", "application/grpc+proto")];
+        let good = message(&chat(3));
+        let whole = framed(&good);
+        let with = |change: &dyn Fn(&mut v1::ChatRequest)| {
+            let mut changed = good.clone();
+            change(&mut changed);
+            framed(&changed)
+        };
+        let long = |length: u32| [&[0][..], &length.to_be_bytes(), b"few"].concat().into();
+        let packed: bytes::Bytes = [&[1][..], &whole[1..]].concat().into();
+        let cases: [(&str, bytes::Bytes, Code); 16] = [
+            ("/petrelshore.chat.v1.ChatService/Sing", whole.clone(), Code::Unimplemented),
+            ("/petrelshore.chat.v2.ChatService/Stream", whole.clone(), Code::Unimplemented),
+            ("/", whole.clone(), Code::Unimplemented),
+            (&stream, bytes::Bytes::new(), Code::Internal),
+            (&stream, vec![0, 0, 0].into(), Code::Internal),
+            (&stream, vec![0, 0, 0, 0, 3, 0xff, 0xff, 0xff].into(), Code::Internal),
+            (&stream, long(100), Code::Internal),
+            (&stream, long(5_000_000), Code::ResourceExhausted),
+            (&stream, long(u32::MAX), Code::ResourceExhausted),
+            (&stream, packed, Code::Unimplemented),
+            (&stream, with(&|m| m.model.clear()), Code::InvalidArgument),
+            (&stream, with(&|m| m.model = "nobody".to_owned()), Code::NotFound),
+            (&stream, with(&|m| m.messages.clear()), Code::InvalidArgument),
+            (&stream, with(&|m| m.messages[0].role = 99), Code::InvalidArgument),
+            (&stream, with(&|m| m.temperature = Some(f64::NAN)), Code::InvalidArgument),
+            (&stream, with(&|m| m.max_tokens = Some(0)), Code::InvalidArgument),
+        ];
+        for (path, body, code) in cases {
+            assert_eq!(line.post(path, &grpc, body.clone()).await, (200, Some(code)), "{path} {body:?}");
+        }
+        let http = line.post(&stream, &[("content-type", "application/json")], whole.clone()).await;
+        assert_eq!(http, (415, None));
+        let gzip = [grpc[0], ("grpc-encoding", "gzip")];
+        assert_eq!(line.post(&stream, &gzip, whole.clone()).await.1, Some(Code::Unimplemented));
+        let key = [grpc[0], ("idempotency-key", "")];
+        assert_eq!(line.post(&stream, &key, whole).await.1, Some(Code::InvalidArgument));
+        assert_eq!((world.gateway.gateway.counts().taken, world.arrivals("read")), (0, 0));
+        let seen = line.ask(&chat(3)).await;
+        assert_eq!(seen.finished, FinalSeen::Generated, "{seen:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn calls_without_a_known_key_are_refused_where_keys_are_needed() {
+    let more = r#"open | force = false, tenants.shops = { keys = ["shop-key"], per_second = 10 }"#;
+    case("grpc-keys", more, |world| async move {
+        for key in [None, Some("Bearer nobody"), Some("shop-key")] {
+            let question = chat(3);
+            let question = key.map_or(question.clone(), |key| question.with("authorization", key));
+            let seen = question.ask(Front::Grpc, world.gateway.at, LONG).await;
+            assert_eq!((seen.status, seen.retry_after), (Code::Unauthenticated as u16, None), "{seen:?}");
+        }
+        assert_eq!(world.gateway.gateway.counts().taken, 0);
+        let seen = world.ask_this(chat(3).with("authorization", "Bearer shop-key"), LONG).await;
+        assert_eq!(seen.finished, FinalSeen::Generated, "{seen:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_flood_of_calls_opened_and_reset_at_once_makes_no_work_for_the_readers() {
+    case("grpc-flood", "", |world| async move {
+        // Open and reset in one breath, again and again, on several connections.
+        for _ in 0..5 {
+            let mut raw = Raw::open(&world).await;
+            for round in 0..100u32 {
+                let pair = |number: u32| {
+                    let id = 1 + 2 * (round * 10 + number);
+                    [raw_call(id, &chat(50)), reset(id)].concat()
+                };
+                raw.send(&(0..10).flat_map(pair).collect::<Vec<u8>>()).await;
+            }
+        }
+        assert_eq!(world.arrivals("read"), 0, "a reset that came with its call was read all the same");
+        // Each taken, and withdrawn while it is read.
+        let mut line = Line::open(&world).await;
+        for _ in 0..400 {
+            let before = world.gateway.gateway.counts();
+            let response = line.call(&chat(50)).await;
+            for _ in 0..200 {
+                let now = world.gateway.gateway.counts();
+                if now.taken > before.taken {
+                    break;
+                }
+                future::yield_now().await;
+            }
+            drop(response);
+        }
+        let taken = world.gateway.gateway.counts().taken;
+        assert!((32..=60).contains(&taken), "{taken} were taken of a flood");
+        let refused = line.ask(&chat(3)).await;
+        assert_eq!(refused.code.as_deref(), Some("too_many_withdrawn"), "{refused:?}");
+        assert!(refused.retry_after.is_some_and(|wait| wait > Duration::ZERO), "{refused:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn pings_without_end_are_answered_with_a_goaway() {
+    case("grpc-pings", "", |world| async move {
+        let mut raw = Raw::open(&world).await;
+        for _ in 0..100 {
+            raw.send(&(0..10).flat_map(|_| frame(6, 0, 0, &[0; 8])).collect::<Vec<u8>>()).await;
+        }
+        const ENHANCE_YOUR_CALM: u32 = 11;
+        let frames = raw.frames_until(|frames| goaway(frames).is_some()).await;
+        assert_eq!(goaway(&frames), Some(ENHANCE_YOUR_CALM));
+        let mut line = Line::open(&world).await;
+        let seen = line.ask(&chat(3)).await;
+        assert_eq!(seen.finished, FinalSeen::Generated, "{seen:?}");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_client_that_vanished_without_a_word_is_found_out_while_its_answer_runs() {
+    let slow = |build: Build| Build { token_nanos: 250_000_000, ..build };
+    case_of(Front::Grpc, "grpc-vanished", &small(), "", slow, |world| async move {
+        // It takes whatever is sent, as a dead machine's peer does for long, and answers nothing.
+        let mut raw = Raw::open(&world).await;
+        raw.send(&raw_call(1, &chat(1000))).await;
+        until("it is written", || world.arrivals("write") == 1).await;
+        for _ in 0..500 {
+            if world.gateway.gateway.counts().withdrawn == 1 {
+                break;
+            }
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert_eq!(world.gateway.gateway.counts().withdrawn, 1, "nobody asked whether it is there");
+        world.clean().await;
+    });
+}
+
+#[test]
+fn of_many_calls_on_one_connection_those_that_are_not_read_hold_up_no_other() {
+    let flood = |build: Build| Build { token_nanos: 20_000, slots: 300, queue: 300, ..build };
+    let more = r#"traffic."workshop-chat".max_tokens = 400000"#;
+    case_of(Front::Grpc, "grpc-many", &small(), more, flood, |world| async move {
+        let mut line = Line::open(&world).await;
+        // It would fill the whole connection's window many times over, and is never read.
+        let stalled = line.call(&chat(100_000)).await.await.expect("it began");
+        Timer::after(Duration::from_secs(1)).await;
+        for _ in 0..5 {
+            let mut calls = Vec::new();
+            for _ in 0..10 {
+                calls.push(line.call(&Question::new("rider-query", "why", 20)).await);
+            }
+            for response in calls {
+                let mut seen = Seen::nothing();
+                read(response, Instant::now(), &mut seen).await;
+                assert_eq!((seen.finished, seen.tokens), (FinalSeen::Generated, 20), "{seen:?}");
+            }
+        }
+        drop(stalled);
+        world.clean_after_stall().await;
+    });
+}
+
+/// A client that sends whatever frames it likes.
+struct Raw {
+    stream: TcpStream,
+    got: Vec<u8>,
+}
+
+struct Frame {
+    kind: u8,
+    stream: u32,
+    payload: Vec<u8>,
+}
+
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32).to_be_bytes();
+    [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
+}
+
+fn reset(stream: u32) -> Vec<u8> {
+    frame(3, 0, stream, &8u32.to_be_bytes())
+}
+
+/// A whole call: its head, each field spelt out, and its message.
+fn raw_call(stream: u32, question: &Question) -> Vec<u8> {
+    let path = format!("/{SERVICE}/Stream");
+    let fields = [
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", path.as_str()),
+        (":authority", "gateway"),
+        ("content-type", "application/grpc"),
+        ("te", "trailers"),
+    ];
+    let spelt = fields.iter().flat_map(|(name, value)| {
+        let parts = [&[0, name.len() as u8][..], name.as_bytes(), &[value.len() as u8], value.as_bytes()];
+        parts.concat()
+    });
+    const END_HEADERS: u8 = 4;
+    const END_STREAM: u8 = 1;
+    let head = frame(1, END_HEADERS, stream, &spelt.collect::<Vec<u8>>());
+    [head, frame(0, END_STREAM, stream, &framed(&message(question)))].concat()
+}
+
+fn resets(frames: &[Frame]) -> Vec<(u32, u32)> {
+    let found = frames.iter().filter(|frame| frame.kind == 3);
+    found.map(|frame| (frame.stream, number(&frame.payload))).collect()
+}
+
+fn goaway(frames: &[Frame]) -> Option<u32> {
+    frames.iter().find(|frame| frame.kind == 7).map(|frame| number(&frame.payload[4..]))
+}
+
+fn number(bytes: &[u8]) -> u32 {
+    u32::from_be_bytes(bytes[..4].try_into().unwrap())
+}
+
+impl Raw {
+    async fn open(world: &World) -> Raw {
+        let mut stream = TcpStream::connect(world.gateway.at.grpc).await.unwrap();
+        let settings = frame(4, 0, 0, &[]);
+        stream.write_all(&[b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", settings.as_slice()].concat()).await.unwrap();
+        Raw { stream, got: Vec::new() }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) {
+        // A connection that was ended for what came before takes no more.
+        let _ = self.stream.write_all(bytes).await;
+        Timer::after(Duration::from_millis(2)).await;
+    }
+
+    /// All frames so far, once they hold what is waited for.
+    async fn frames_until(&mut self, holds: impl Fn(&[Frame]) -> bool) -> Vec<Frame> {
+        let mut part = [0; 4096];
+        let deadline = Instant::now() + LONG;
+        while Instant::now() < deadline {
+            let frames = self.frames();
+            if holds(&frames) {
+                return frames;
+            }
+            let late = async {
+                Timer::after(Duration::from_secs(1)).await;
+                Err(std::io::ErrorKind::TimedOut.into())
+            };
+            match future::or(self.stream.read(&mut part), late).await {
+                Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {}
+                Ok(0) | Err(_) => break,
+                Ok(count) => self.got.extend_from_slice(&part[..count]),
+            }
+        }
+        self.frames()
+    }
+
+    fn frames(&self) -> Vec<Frame> {
+        let (mut rest, mut frames) = (self.got.as_slice(), Vec::new());
+        while rest.len() >= 9 {
+            let length = number(&[0, rest[0], rest[1], rest[2]]) as usize;
+            let Some(payload) = rest.get(9..9 + length) else { break };
+            let stream = number(&rest[5..9]);
+            frames.push(Frame { kind: rest[3], stream, payload: payload.to_vec() });
+            rest = &rest[9 + length..];
+        }
+        frames
+    }
+}
--- a/rehearsal/tests/hard_cases.rs
+++ b/rehearsal/tests/hard_cases.rs
@@ -1,146 +1,17 @@
 //! The hard cases of a streamed chat path, each on loopback through the whole program and by either front, judged by
 //! the auditor.
 
-use async_executor::LocalExecutor;
+mod world;
+
 use async_io::Timer;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use petrelshore_rehearsal::auditor::{Verdict, judge};
-use petrelshore_rehearsal::client::{Addresses, Front, Question, Seen, chat_body, request};
-use petrelshore_rehearsal::fleet::{Executor, Fleet, Running, Shape, settings_text};
+use petrelshore_rehearsal::client::{Front, Question, Seen, chat_body, request};
+use petrelshore_rehearsal::fleet::{Running, Shape, settings_text};
 use petrelshore_rehearsal::grpc_client;
-use petrelshore_rehearsal::rehearse::figures;
 use petrelshore_stand_in::model::{Build, Fault};
 use petrelshore_stand_in::record::{FinalSeen, Passed};
-use petrelshore_stand_in::server::usual_build;
-use std::path::PathBuf;
-use std::rc::Rc;
 use std::time::Duration;
-
-const LONG: Duration = Duration::from_secs(30);
-
-/// A client's way to the gateway under test.
-#[derive(Clone, Copy)]
-struct Way {
-    front: Front,
-    at: Addresses,
-}
-
-impl Way {
-    async fn put(self, question: Question) -> Seen {
-        question.ask(self.front, self.at, LONG).await
-    }
-}
-
-struct World {
-    front: Front,
-    executor: Executor,
-    fleet: Fleet,
-    gateway: Running,
-    folder: PathBuf,
-    clients: std::cell::Cell<u64>,
-}
-
-impl World {
-    fn way(&self) -> Way {
-        Way { front: self.front, at: self.gateway.at }
-    }
-
-    /// Asks and writes down what was seen, as the auditor needs it.
-    async fn ask(&self, model: &'static str, max_tokens: u64, leave_after: Duration) -> Seen {
-        self.ask_this(Question::new(model, "why", max_tokens), leave_after).await
-    }
-
-    async fn ask_this(&self, mut question: Question, leave: Duration) -> Seen {
-        let client = self.clients.get();
-        self.clients.set(client + 1);
-        let settings = self.gateway.gateway.settings();
-        let abandon = settings.traffic.iter().find(|t| t.name == question.model).unwrap().abandon_time;
-        let until = self.fleet.record.now() + abandon;
-        let (gateway, traffic) = (self.gateway.name.clone(), question.model.to_owned());
-        self.fleet.record.write(Passed::Asked { client, gateway, traffic, until });
-        question.text.push_str(&format!(" #client {client} "));
-        let seen = question.ask(self.front, self.gateway.at, leave).await;
-        let (answer, first_token) = (seen.finished, seen.first_token);
-        self.fleet.record.write(Passed::Answered { client, answer, first_token, tokens: seen.tokens });
-        seen
-    }
-
-    fn fault(&self, names: &str, fault: Fault) {
-        let named = self.fleet.places.iter().filter(|place| place.name.starts_with(names));
-        named.filter_map(|place| place.stand_in.as_ref()).for_each(|stand_in| stand_in.set_fault(fault));
-    }
-
-    fn arrivals(&self, work: &str) -> usize {
-        let entries = self.fleet.record.entries();
-        let same = |passed: &Passed| matches!(passed, Passed::Arrived { work: w, .. } if w == work);
-        entries.iter().filter(|entry| same(&entry.passed)).count()
-    }
-
-    /// Waits until nothing is left anywhere; the auditor then must find every rule kept.
-    async fn clean(&self) -> Verdict {
-        let left = || {
-            let boxes = self.fleet.places.iter().filter_map(|place| place.stand_in.as_ref());
-            self.gateway.gateway.held() + boxes.map(|b| b.states() + b.in_flight()).sum::<usize>()
-        };
-        for _ in 0..200 {
-            if left() == 0 {
-                break;
-            }
-            Timer::after(Duration::from_millis(50)).await;
-        }
-        assert_eq!(left(), 0, "something is left behind");
-        let verdict = judge(&self.fleet.record.entries(), &figures(self.gateway.gateway.settings()));
-        assert_eq!(verdict.breaks, [], "rules were broken");
-        verdict
-    }
-}
-
-fn quick(build: Build) -> Build {
-    Build { token_nanos: 5_000_000, ..build }
-}
-
-/// Runs a case before one cell of a reader and two writers, or as `shape` says.
-fn case<F: Future<Output = ()>>(name: &str, shape: Shape, more: &str, run: impl Fn(World) -> F) {
-    case_with(name, shape, more, quick, run);
-}
-
-fn case_with<F: Future<Output = ()>>(
-    name: &str,
-    shape: Shape,
-    more: &str,
-    build: impl Fn(Build) -> Build,
-    run: impl Fn(World) -> F,
-) {
-    for front in Front::ALL {
-        case_of(front, name, &shape, more, &build, &run);
-    }
-}
-
-fn case_of<F: Future<Output = ()>>(
-    front: Front,
-    name: &str,
-    shape: &Shape,
-    more: &str,
-    build: impl Fn(Build) -> Build,
-    run: impl Fn(World) -> F,
-) {
-    let folder = std::env::temp_dir().join(format!("petrelshore-{name}-{front:?}-{}", std::process::id()));
-    let executor: Executor = Rc::new(LocalExecutor::new());
-    let work = async {
-        let fleet =
-            Fleet::start(executor.clone(), &folder, shape, |role| build(usual_build(role))).await.unwrap();
-        let text = settings_text("gw-1", 1, "127.0.0.1:0", more);
-        let gateway = Running::start(&executor, &folder, &text).await.unwrap();
-        let (executor, folder) = (executor.clone(), folder.clone());
-        run(World { front, executor, fleet, gateway, folder, clients: Default::default() }).await;
-    };
-    future::block_on(executor.run(work));
-    let _ = std::fs::remove_dir_all(&folder);
-}
-
-fn small() -> Shape {
-    Shape { cells: 1, readers: 1, writers: 2, mixed: 0 }
-}
+use world::{LONG, World, case, case_with, quick, small};
 
 #[test]
 fn an_answer_goes_through_reader_and_writer_and_ends_once() {
@@ -435,7 +306,7 @@
         match world.front {
             Front::Chat => {
                 let mut stream = async_net::TcpStream::connect(world.gateway.at.chat).await.unwrap();
-                let body = chat_body(question.model, &question.text, question.max_tokens, true);
+                let body = chat_body(&question.model, &question.text, question.max_tokens, true);
                 let text = request("/v1/chat/completions", &[], &body);
                 stream.write_all(text.as_bytes()).await.unwrap();
                 Idle::Chat(stream)
@@ -476,15 +347,3 @@
         }
     }
 }
-
-impl World {
-    async fn clean_after_stall(&self) {
-        for _ in 0..300 {
-            if self.gateway.gateway.in_hand() == 0 {
-                break;
-            }
-            Timer::after(Duration::from_millis(100)).await;
-        }
-        self.clean().await;
-    }
-}
--- a/stand-in/src/server.rs
+++ b/stand-in/src/server.rs
@@ -38,6 +38,8 @@
     next: Cell<u64>,
     /// Jobs whose read state is held, by the request that they belong to.
     held: RefCell<BTreeMap<String, u64>>,
+    /// Reads that are not done, and by what name their states will be known.
+    reading: RefCell<BTreeMap<u64, String>>,
     /// Marks of tokened work that has run here.
     marks: RefCell<BTreeSet<String>>,
 }
@@ -73,6 +75,7 @@
             waiters: RefCell::default(),
             next: Cell::new(0),
             held: RefCell::default(),
+            reading: RefCell::default(),
             marks: RefCell::default(),
         });
         let (server, cell) = (name.to_owned(), cell.to_owned());
@@ -134,7 +137,11 @@
                     self.model.borrow_mut().due(now, &mut happened);
                     for event in happened {
                         let id = match event {
-                            Happened::Read { id, .. } | Happened::Token { id, .. } => id,
+                            Happened::Read { id, .. } => {
+                                self.hold(id);
+                                id
+                            }
+                            Happened::Token { id, .. } => id,
                             Happened::Expired { id } => {
                                 let held = self
                                     .held
@@ -177,6 +184,13 @@
         )
     }
 
+    /// A read is done: from now on its state is held, whether or not its answer still reaches anybody.
+    fn hold(&self, id: u64) {
+        let Some(request) = self.reading.borrow_mut().remove(&id) else { return };
+        self.held.borrow_mut().insert(request.clone(), id);
+        self.record.write(Passed::StateHeld { server: self.name.clone(), request });
+    }
+
     fn let_go(&self, request: &str) -> bool {
         let Some(id) = self.held.borrow_mut().remove(request) else { return false };
         self.model.borrow_mut().let_go(id);
@@ -211,6 +225,7 @@
 impl Drop for InBox {
     fn drop(&mut self) {
         self.shared.waiters.borrow_mut().remove(&self.id);
+        self.shared.reading.borrow_mut().remove(&self.id);
         let now = self.shared.record.now();
         self.shared.model.borrow_mut().cancel(now, self.id);
         self.shared.wake.notify(usize::MAX);
@@ -423,6 +438,9 @@
     }
     let (sender, events) = async_channel::unbounded();
     shared.waiters.borrow_mut().insert(job.id, sender);
+    if work == Work::Read {
+        shared.reading.borrow_mut().insert(job.id, request.clone());
+    }
     let in_box = InBox { shared: shared.clone(), id: job.id, _out: out, events };
     let prompt_tokens = job.prompt_tokens;
     let (was_up, taken) = {
@@ -452,8 +470,6 @@
         let Ok(Happened::Read { kept, .. }) = in_box.events.recv().await else {
             return error(500, &shared.load(), "failed");
         };
-        shared.held.borrow_mut().insert(request.clone(), in_box.id);
-        shared.record.write(Passed::StateHeld { server: server.clone(), request: request.clone() });
         let address = shared.address.get();
         let params = json!({
             "do_remote_prefill": true, "do_remote_decode": false, "remote_engine_id": server,
