Health, reflection and whole answers over gRPC proved on sockets; rehearsals mix both fronts

Now health (with Watch through a drain), both reflection versions, the models and whole answers are asked over sockets, and the two short rehearsals put half of their clients on gRPC.

--- a/rehearsal/tests/grpc_cases.rs
+++ b/rehearsal/tests/grpc_cases.rs
@@ -13,8 +13,13 @@
 use petrelshore_rehearsal::grpc_client::{call, connect, framed, message, read};
 use petrelshore_stand_in::model::{Build, Fault};
 use petrelshore_stand_in::record::FinalSeen;
+use prost::Message;
 use std::time::{Duration, Instant};
 use tonic::Code;
+use tonic_health::pb::{HealthCheckRequest, HealthCheckResponse};
+use tonic_reflection::pb::v1::server_reflection_request::MessageRequest;
+use tonic_reflection::pb::v1::server_reflection_response::MessageResponse;
+use tonic_reflection::pb::v1::{ServerReflectionRequest, ServerReflectionResponse};
 use world::{LONG, World, case_of, quick, small};
 
 fn case<F: Future<Output = ()>>(name: &str, more: &str, run: impl Fn(World) -> F) {
@@ -73,6 +78,29 @@
     }
 }
 
+impl Line {
+    /// One message, and all that come back; none with a status that is no success.
+    async fn all<R: Message + Default>(&mut self, path: &str, asked: &impl Message) -> Vec<R> {
+        let request =
+            Request::post(format!("http://gateway{path}")).header("content-type", "application/grpc");
+        future::poll_fn(|context| self.sender.poll_ready(context)).await.expect("the connection lives");
+        let (response, mut sending) =
+            self.sender.send_request(request.body(()).unwrap(), false).expect("a call is sent");
+        sending.send_data(framed(asked), true).expect("its message is sent");
+        let mut body = response.await.expect("an answer").into_body();
+        let (mut bytes, mut found) = (bytes::BytesMut::new(), Vec::new());
+        while let Some(Ok(part)) = body.data().await {
+            bytes.extend_from_slice(&part);
+        }
+        while bytes.len() >= 5 {
+            let length = number(&bytes[1..5]) as usize;
+            found.push(R::decode(&bytes[5..5 + length]).expect("a message"));
+            let _ = bytes.split_to(5 + length);
+        }
+        found
+    }
+}
+
 /// Waits until something holds.
 async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     for _ in 0..400 {
@@ -380,6 +408,63 @@
     });
 }
 
+#[test]
+fn health_and_reflection_answer_clients_that_explore() {
+    case("grpc-explore", "", |world| async move {
+        let mut line = Line::open(&world).await;
+        for (service, status) in [("", Some(1)), (SERVICE, Some(1)), ("nobody", None)] {
+            let asked = HealthCheckRequest { service: service.to_owned() };
+            let state: Vec<HealthCheckResponse> = line.all("/grpc.health.v1.Health/Check", &asked).await;
+            assert_eq!(state.first().map(|state| state.status), status, "{service}");
+        }
+        let models: Vec<v1::ListModelsResponse> =
+            line.all(&format!("/{SERVICE}/ListModels"), &v1::ListModelsRequest {}).await;
+        assert_eq!(models[0].models, ["dock-tokened", "rider-query", "unlock-once", "workshop-chat"]);
+        for version in ["v1", "v1alpha"] {
+            let path = format!("/grpc.reflection.{version}.ServerReflection/ServerReflectionInfo");
+            let asked = MessageRequest::FileContainingSymbol(SERVICE.to_owned());
+            let asked = ServerReflectionRequest { host: String::new(), message_request: Some(asked) };
+            let found: Vec<ServerReflectionResponse> = line.all(&path, &asked).await;
+            let Some(MessageResponse::FileDescriptorResponse(found)) = found[0].message_response.clone()
+            else {
+                panic!("{version}: {found:?}");
+            };
+            let file = String::from_utf8_lossy(&found.file_descriptor_proto[0]).into_owned();
+            assert!(file.contains("petrelshore/chat/v1/chat.proto") && file.contains("ChatEvent"));
+        }
+        // Who watches is told of a drain at once, and that it is the end.
+        let watch = HealthCheckRequest { service: SERVICE.to_owned() };
+        let gateway = world.gateway.gateway.clone();
+        let drains = async {
+            Timer::after(Duration::from_millis(200)).await;
+            gateway.drain().await
+        };
+        let watches = line.all::<HealthCheckResponse>("/grpc.health.v1.Health/Watch", &watch);
+        let (states, _) = future::zip(watches, drains).await;
+        assert_eq!(states.iter().map(|state| state.status).collect::<Vec<_>>(), [1, 2]);
+        world.clean().await;
+    });
+}
+
+#[test]
+fn a_whole_answer_comes_in_one_message_and_its_broken_writer_is_not_seen() {
+    case("grpc-whole", "attempts = 8", |world| async move {
+        let mut line = Line::open(&world).await;
+        let path = format!("/{SERVICE}/Complete");
+        let answers: Vec<v1::ChatAnswer> = line.all(&path, &message(&chat(12))).await;
+        let [answer] = answers.as_slice() else { panic!("{answers:?}") };
+        assert!(answer.text.starts_with("t1 ") && answer.text.contains("t12 "), "{answer:?}");
+        assert_eq!(answer.usage.map(|usage| usage.completion_tokens), Some(12));
+        // One of both writers breaks every answer: nobody has seen a part, so it is written anew elsewhere.
+        world.fault("writer-1-1", Fault::ResetAfter(2));
+        for _ in 0..4 {
+            let answers: Vec<v1::ChatAnswer> = line.all(&path, &message(&chat(12))).await;
+            assert_eq!(answers.len(), 1);
+        }
+        world.clean().await;
+    });
+}
+
 /// A client that sends whatever frames it likes.
 struct Raw {
     stream: TcpStream,
--- a/rehearsal/tests/rehearsals.rs
+++ b/rehearsal/tests/rehearsals.rs
@@ -26,8 +26,8 @@
           name = "mass-restart", lasts_ms = 7000, gateways = 3,
           fleet = { cells = 2, readers = 1, writers = 2, slots = 12, cold_ms = 3000, cold_multiple = 1.5 },
           clients = [
-            { model = 'rider_query, per_second = 20, max_tokens = 8 },
-            { model = 'unlock_once, per_second = 5, max_tokens = 5 },
+            { model = 'rider_query, front = 'both, per_second = 20, max_tokens = 8 },
+            { model = 'unlock_once, front = 'grpc, per_second = 5, max_tokens = 5 },
             { model = 'dock_tokened, per_second = 5, max_tokens = 5 },
           ],
           faults = [
@@ -54,9 +54,9 @@
           name = "drain", lasts_ms = 3000, gateways = 3,
           fleet = { cells = 2, readers = 2, writers = 3 },
           clients = [
-            { model = 'rider_query, per_second = 25, max_tokens = 8, leave_share = 0.1 },
+            { model = 'rider_query, front = 'both, per_second = 25, max_tokens = 8, leave_share = 0.1 },
             { model = 'unlock_once, per_second = 10, max_tokens = 5 },
-            { model = 'dock_tokened, per_second = 10, max_tokens = 5 },
+            { model = 'dock_tokened, front = 'grpc, per_second = 10, max_tokens = 5 },
           ],
           faults = [
             { at_ms = 700, what = 'drain, servers = ["writer-1-1", "reader-2-1"] },
