The daemon as a process: a TERM while a gRPC stream runs lets it end whole

The daemon's own wiring of the second listener had no test as a process. At its first token the stream has the daemon told to stop, so no wall clock decides. Seconds of the epoch stand beside the calls that use them.

--- a/chat/src/serve.rs
+++ b/chat/src/serve.rs
@@ -16,7 +16,7 @@
 use petrelshore_conductor::limits::WHOLE_ANSWER;
 use petrelshore_conductor::{Reason, Relay};
 use petrelshore_front::call::{self, Failed, Fault, Head, Wrong};
-use petrelshore_front::entrance::{Entrance, Inside, Listening, Reading, seconds, stalled_for};
+use petrelshore_front::entrance::{Entrance, Inside, Listening, Reading, stalled_for};
 use petrelshore_front::stall::StallGuard;
 use petrelshore_gateway::{Answer, Final, Gateway, Next};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -124,7 +124,7 @@
     let (model, streamed) = (ask.request.model.clone(), ask.request.relay == Relay::Streamed);
     let mut answer = gateway.take(ask)?;
     let id = format!("chatcmpl-{:016x}", answer.id().0);
-    let created = seconds(arrived);
+    let created = call::seconds(arrived);
     let mut reply = if streamed {
         // The status waits for the first token: a sequence that is rejected must not look begun.
         let first = answer.next().await;
--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -1,5 +1,9 @@
 //! The command as a process: start, reload, stop, and what it says when it can't.
 
+use futures_lite::future;
+use petrelshore_rehearsal::client::{Question, Seen};
+use petrelshore_rehearsal::grpc_client;
+use petrelshore_stand_in::record::FinalSeen;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -10,7 +14,8 @@
 struct Running {
     child: Child,
     address: SocketAddr,
-    operator: Option<SocketAddr>,
+    /// Of the second listener, where there is one.
+    second: Option<SocketAddr>,
 }
 
 impl Drop for Running {
@@ -33,9 +38,9 @@
     let ready = lines.next().unwrap().unwrap();
     let mut addresses = ready.split([' ', ',']).filter_map(|word| word.parse::<SocketAddr>().ok());
     let address = addresses.next().unwrap_or_else(|| panic!("no address in '{ready}'"));
-    let operator = addresses.next();
+    let second = addresses.next();
     std::thread::spawn(move || lines.for_each(drop));
-    Running { child, address, operator }
+    Running { child, address, second }
 }
 
 fn signal(running: &Running, name: &str) {
@@ -176,7 +181,7 @@
     let gateway = start(&["serve", &file]);
     assert!(rest(ask(gateway.address, 3)).contains("[DONE]"));
     let get = |path: &str| {
-        let mut stream = TcpStream::connect(gateway.operator.unwrap()).unwrap();
+        let mut stream = TcpStream::connect(gateway.second.unwrap()).unwrap();
         stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").as_bytes()).unwrap();
         rest(stream)
     };
@@ -190,6 +195,42 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+#[test]
+fn a_term_while_a_grpc_stream_runs_lets_it_end_whole() {
+    let folder = folder("grpc");
+    let server = stand_in("one", "10");
+    write_list(&folder, &[("one", server.address)]);
+    let file = write_settings(&folder, "20s");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let both = "listen = { chat = \"127.0.0.1:0\", grpc = \"127.0.0.1:0\" }";
+    std::fs::write(&file, text.replace("listen.chat = \"127.0.0.1:0\"", both)).unwrap();
+    let mut gateway = start(&["serve", &file]);
+    let grpc = gateway.second.unwrap();
+    let (mut seen, mut told) = (Seen::nothing(), false);
+    let exchange = async {
+        let (mut sender, driver) = grpc_client::connect(grpc).await.expect("the daemon listens");
+        let asked = async {
+            let response = grpc_client::call(&mut sender, &Question::new("ask", "why", 100)).await.unwrap();
+            // At its first token the daemon is told to stop.
+            let first = |_| {
+                if !std::mem::replace(&mut told, true) {
+                    signal(&gateway, "-TERM");
+                }
+            };
+            grpc_client::read_with(response, Instant::now(), &mut seen, first).await;
+        };
+        let drive = async {
+            let _ = driver.await;
+            future::pending().await
+        };
+        future::or(asked, drive).await;
+    };
+    future::block_on(exchange);
+    assert_eq!((seen.finished, seen.tokens), (FinalSeen::Generated, 100), "{seen:?}");
+    assert_eq!(ended(&mut gateway), Some(0));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn a_bad_start_says_why_in_a_line_and_fails() {
     let folder = folder("bad");
--- a/front/src/call.rs
+++ b/front/src/call.rs
@@ -221,3 +221,8 @@
 pub fn shortened(text: &str) -> String {
     text.chars().take(SHORT).collect()
 }
+
+/// Seconds of the Unix epoch, as protocols give them.
+pub fn seconds(at: Nanos) -> u64 {
+    at / 1_000_000_000
+}
--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -2,7 +2,6 @@
 
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use petrelshore::interface::Nanos;
 use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::{intake, pace};
 use petrelshore_gateway::Gateway;
@@ -124,8 +123,3 @@
         self.doors.borrow_mut().less(self.client, self.bytes);
     }
 }
-
-/// Seconds of the Unix epoch, as protocols give them.
-pub fn seconds(at: Nanos) -> u64 {
-    at / 1_000_000_000
-}
--- a/grpc/src/exchange.rs
+++ b/grpc/src/exchange.rs
@@ -15,7 +15,6 @@
 use petrelshore_conductor::limits::WHOLE_ANSWER;
 use petrelshore_conductor::{Reason, Relay, pace};
 use petrelshore_front::call::{self, Fault, Wrong};
-use petrelshore_front::entrance::seconds;
 use petrelshore_gateway::{Answer, Final, Next, Usage};
 use prost::Message;
 use std::task::{Context, Poll};
@@ -89,7 +88,7 @@
     reply.there()?;
     let model = ask.request.model.to_string();
     let answer = gateway.take(ask)?;
-    let (id, created) = (format!("{:016x}", answer.id().0), seconds(arrived) as i64);
+    let (id, created) = (format!("{:016x}", answer.id().0), call::seconds(arrived) as i64);
     match relay {
         Relay::Streamed => stream(reply, answer, v1::Begun { id, model, created }).await,
         Relay::Whole => whole(reply, answer, v1::Begun { id, model, created }).await,
