--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -140,6 +140,9 @@
 fn print(outcome: &Outcome) {
     let verdict = &outcome.verdict;
     println!("\nservice {:.3} (utility within the latency SLO over utility asked)", outcome.service);
+    for (front, service) in &outcome.fronts {
+        println!("  by {front:?}: {service:.3}");
+    }
     for (model, answers) in &outcome.answers {
         let counts: Vec<String> = answers.iter().map(|(answer, count)| format!("{answer} {count}")).collect();
         let times = outcome.first_tokens.get(model).map(|times| {
--- a/rehearsal/src/client.rs
+++ b/rehearsal/src/client.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// Which front a client speaks to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Front {
     Chat,
     Grpc,
--- a/rehearsal/src/rehearse.rs
+++ b/rehearsal/src/rehearse.rs
@@ -1,7 +1,7 @@
 //! Plays a script: gateways, fleet, clients and timed faults on loopback; then the auditor's verdict and figures.
 
 use crate::auditor::{Effect, Figures, Verdict, judge, left_behind};
-use crate::client::{Addresses, Question};
+use crate::client::{Addresses, Front, Question};
 use crate::fleet::{Executor, Fleet, Running, Shape, settings_text};
 use crate::script::{Clients, Script, Timed, Trouble};
 use async_io::Timer;
@@ -30,6 +30,8 @@
     pub entries: Vec<Entry>,
     /// Utility answered within the latency SLO over utility asked, client retries counted with their first try.
     pub service: f64,
+    /// The same for each front that was asked, so that none starves unseen.
+    pub fronts: BTreeMap<Front, f64>,
     pub answers: BTreeMap<String, BTreeMap<String, usize>>,
     /// Milliseconds to the first token, by traffic type.
     pub first_tokens: BTreeMap<String, Histogram<u64>>,
@@ -52,6 +54,7 @@
 /// One question of a client, over all its tries.
 struct Tried {
     model: &'static str,
+    front: Front,
     answer: FinalSeen,
     in_time: bool,
     first_token: Option<Nanos>,
@@ -276,7 +279,9 @@
     let position = play.settings.traffic.iter().position(|traffic| traffic.name == model).unwrap_or(0);
     let (traffic, kind) = (&play.settings.traffic[position], &play.settings.deployment.types[position]);
     let began = play.record.now();
-    let mut tried = Tried { model, answer: FinalSeen::Nothing, in_time: false, first_token: None };
+    // All tries of a question go by one front.
+    let front = clients.front.of(play.next_client.get());
+    let mut tried = Tried { model, front, answer: FinalSeen::Nothing, in_time: false, first_token: None };
     for _ in 0..=clients.retries as usize {
         let client = play.next_client.get();
         play.next_client.set(client + 1);
@@ -286,7 +291,7 @@
         let until = asked + traffic.abandon_time;
         play.record.write(Passed::Asked { client, gateway, traffic: model.to_owned(), until });
         let to = play.addresses.borrow()[number];
-        let seen = asking.ask(clients.front.of(client), to, leaves.unwrap_or(PATIENCE)).await;
+        let seen = asking.ask(front, to, leaves.unwrap_or(PATIENCE)).await;
         let (answer, first_token, tokens) = (seen.finished, seen.first_token, seen.tokens);
         play.record.write(Passed::Answered { client, answer, first_token, tokens });
         if seen.after_final {
@@ -318,7 +323,8 @@
     left_in_gateways: usize,
     left_in_boxes: usize,
 ) -> Outcome {
-    let (mut asked, mut served) = (0.0, 0.0);
+    // Utility asked and served.
+    let mut utilities: BTreeMap<Front, (f64, f64)> = BTreeMap::new();
     let mut answers: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
     let mut first_tokens: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
     for tried in play.tries.borrow().iter() {
@@ -329,8 +335,9 @@
         }
         let position = play.settings.traffic.iter().position(|traffic| traffic.name == tried.model);
         let utility = position.map_or(0.0, |position| play.settings.deployment.types[position].utility);
-        asked += utility;
-        served += if tried.in_time { utility } else { 0.0 };
+        let (asked, served) = utilities.entry(tried.front).or_default();
+        *asked += utility;
+        *served += if tried.in_time { utility } else { 0.0 };
         if let Some(after) = tried.first_token {
             let times = first_tokens.entry(tried.model.to_owned()).or_insert_with(|| {
                 // Three digits up to a minute; the bounds are right by construction.
@@ -339,6 +346,17 @@
             times.saturating_record(after / 1000);
         }
     }
-    let service = if asked > 0.0 { served / asked } else { 0.0 };
-    Outcome { verdict, entries, service, answers, first_tokens, left_in_gateways, left_in_boxes }
+    let share = |(asked, served): (f64, f64)| if asked > 0.0 { served / asked } else { 0.0 };
+    let all = utilities.values().fold((0.0, 0.0), |sum, own| (sum.0 + own.0, sum.1 + own.1));
+    let fronts = utilities.into_iter().map(|(front, own)| (front, share(own))).collect();
+    Outcome {
+        verdict,
+        entries,
+        service: share(all),
+        fronts,
+        answers,
+        first_tokens,
+        left_in_gateways,
+        left_in_boxes,
+    }
 }
--- a/rehearsal/tests/grpc_cases.rs
+++ b/rehearsal/tests/grpc_cases.rs
@@ -450,6 +450,19 @@
     });
 }
 
+#[test]
+fn a_key_that_ran_by_one_front_runs_no_second_time_by_the_other() {
+    case("grpc-both", "", |world| async move {
+        let keyed = || Question::new("unlock-once", "open", 3).with("idempotency-key", "door-7");
+        let first = keyed().ask(Front::Chat, world.gateway.at, LONG).await;
+        let again = keyed().ask(Front::Grpc, world.gateway.at, LONG).await;
+        let ends = (first.finished, again.finished);
+        assert_eq!(ends, (FinalSeen::Generated, FinalSeen::Generated), "{first:?} {again:?}");
+        assert_eq!((world.arrivals("read"), world.arrivals("write")), (1, 1));
+        world.clean().await;
+    });
+}
+
 #[test]
 fn a_whole_answer_comes_in_one_message_and_its_broken_writer_is_not_seen() {
     case("grpc-whole", "attempts = 8", |world| async move {
--- a/rehearsal/tests/rehearsals.rs
+++ b/rehearsal/tests/rehearsals.rs
@@ -66,6 +66,9 @@
           ],
         }"#,
     );
+    // Neither front starves beside the other.
+    let served: Vec<f64> = outcome.fronts.values().copied().collect();
+    assert!(served.len() == 2 && served.iter().all(|served| *served > 0.5), "{:?}", outcome.fronts);
     assert_eq!(outcome.verdict.breaks, []);
     assert_eq!((outcome.left_in_gateways, outcome.left_in_boxes), (0, 0));
     assert!(outcome.verdict.told_closed == 9 && outcome.service > 0.5, "service {}", outcome.service);
