--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `petrelshore` command: one gateway, and the means to rehearse with it.
 
 mod operator;
+mod platform;
 mod serve;
 mod trial;
 
@@ -44,6 +45,8 @@
         /// The settings file
         settings: PathBuf,
     },
+    /// Run a gateway on the operators' platform, by the file that LB_CONFIG names, until SIGTERM
+    Platform,
     /// Check a settings file and the inventory that it names, and say every problem
     Check {
         /// The settings file
@@ -138,6 +141,7 @@
     }
     let outcome = match command.what {
         What::Serve { settings } => serve::serve(&settings),
+        What::Platform => platform::platform(),
         What::Check { settings } => serve::check(&settings),
         What::Try { listen } => trial::try_out(listen),
         What::Rehearse { script, record, baseline, front } => {
--- /dev/null
+++ b/cli/src/platform.rs
@@ -0,0 +1,115 @@
+//! One gateway on the operators' platform: start, reload, stop.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::leaving;
+use petrelshore_front::entrance::bind;
+use petrelshore_gateway::Spawner;
+use petrelshore_platform::{Service, discovery};
+use petrelshore_platform_front::House;
+use petrelshore_platform_terms::config::{Config, config};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Names the file that a gateway starts from.
+const FILE: &str = "LB_CONFIG";
+/// Descriptors that are neither a client's nor a model server's: discovery, the listener, signals, the reactor.
+const OWN: usize = 24;
+/// Part of the others that clients may hold.
+const CLIENTS: f64 = 0.6;
+/// A file that is just being written is read again so often, after a pause.
+const READINGS: usize = 10;
+const PAUSE: Duration = Duration::from_millis(100);
+/// After the last final answer, for its bytes to reach the client.
+const LAST_BYTES: Duration = Duration::from_millis(100);
+/// What the gateway holds is logged so often.
+const LOGGED: Duration = Duration::from_secs(5);
+
+fn read() -> Result<Config, String> {
+    let file = std::env::var(FILE).map_err(|_| format!("{FILE} is not set"))?;
+    let text = std::fs::read_to_string(&file).map_err(|error| format!("{file}: {error}"))?;
+    config(&text).map_err(|what| format!("{file}: {what}"))
+}
+
+/// Serves until a signal to stop.
+pub fn platform() -> Result<(), String> {
+    let config = read()?;
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(run(config, &executor)))
+}
+
+async fn run(config: Config, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    // Signals are caught before anybody can connect: whoever sees the gateway ready may send one at once.
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let listening =
+        bind(config.listen).await.map_err(|error| format!("listen: {}: {error}", config.listen))?;
+    let descriptors = config.descriptors.saturating_sub(OWN);
+    let clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
+    let (name, memory, listen) = (config.name.clone(), config.memory_bytes, config.listen);
+    let end_after = leaving::end_streams_after(config.longest_abandon, config.clients_resume);
+    let service = Service::start(config, descriptors.saturating_sub(clients).max(1), Spawner::new(executor));
+    executor.spawn(discovery::watch(service.clone())).detach();
+    let house = House::new(service.clone(), clients, memory);
+    let front = executor.spawn(house.clone().take(listening));
+    executor.spawn(log(service.clone(), house.clone())).detach();
+    info!(name, %listen, clients, "ready");
+
+    while let Some(Ok(signal)) = signals.next().await {
+        if signal != Signal::Hup {
+            break;
+        }
+        executor.spawn(reload(service.clone())).detach();
+    }
+    info!(in_hand = service.in_hand(), "stopping: what is taken is answered");
+    house.leave();
+    Timer::after(Duration::from_nanos(leaving::STILL_COMING)).await;
+    drop(front);
+    house.close_idle();
+    let emptied = async {
+        service.until_empty().await;
+    };
+    let late = async {
+        match end_after {
+            Some(after) => Timer::after(left(after)).await,
+            None => future::pending().await,
+        };
+        info!(in_hand = service.in_hand(), "ending the streams that still run");
+        service.end_all();
+    };
+    future::or(emptied, late).await;
+    Timer::after(LAST_BYTES).await;
+    info!(counts = ?service.counts(), "stopped");
+    Ok(())
+}
+
+fn left(after: Nanos) -> Duration {
+    Duration::from_nanos(after.saturating_sub(leaving::STILL_COMING))
+}
+
+/// Takes discovery's address from the configuration as it is now. One that is not good changes nothing.
+async fn reload(service: Service) {
+    for reading in 1..=READINGS {
+        match read() {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "took the new configuration");
+                return service.move_discovery(config.discovery);
+            }
+            Err(what) => warn!(what, reading, "the configuration is not good: staying with the one before"),
+        }
+        Timer::after(PAUSE).await;
+    }
+}
+
+async fn log(service: Service, house: House) {
+    loop {
+        Timer::after(LOGGED).await;
+        let (open, idle, owed) = service.open();
+        let (in_hand, clients) = (service.in_hand(), house.connections());
+        info!(in_hand, clients, servers = open, idle, owed, counts = ?service.counts(), "holding");
+    }
+}
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -14,6 +14,8 @@
     Streamed,
     /// The client has seen nothing before the end: a broken stream may be written again.
     Whole,
+    /// The client gets one writer's own events, unchanged: a stream that breaks has ended for good.
+    Passed,
 }
 
 /// A sequence as a front hands it over.
@@ -183,8 +185,11 @@
         let held = Held {
             relay: new.relay,
             due: NEVER,
-            ends_by: pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out)
-                .min(new.whole_by.unwrap_or(NEVER)),
+            ends_by: match new.relay {
+                Relay::Passed => pace::passed_ends_by(new.abandon_at, new.max_out),
+                _ => pace::ends_by(new.abandon_at, &self.types[new.traffic.0], new.max_out),
+            }
+            .min(new.whole_by.unwrap_or(NEVER)),
             heard: now,
             stalled_since: None,
             tokens: 0,
@@ -252,14 +257,15 @@
         let Some(status) = held.seq.attempts.get(attempt).map(|a| a.status) else { return };
         let began = status == Status::Streaming;
         let outcome = ending.outcome(began);
-        let broke = began && outcome != Outcome::Generated && held.relay == Relay::Streamed;
+        let broke = began && outcome != Outcome::Generated && held.relay != Relay::Whole;
         let last = outcome == Outcome::Generated || (broke && !self.goes_on(now, id));
         self.closed(now, id, attempt, outcome, last, out);
     }
 
     /// Makes a stream that broke ready to go on after its last token; false where it ends here.
     fn goes_on(&mut self, now: Nanos, id: SeqId) -> bool {
-        let Some(held) = self.held.get_mut(&id).filter(|held| !held.seq.ended) else { return false };
+        let goes = |held: &&mut Held| !held.seq.ended && held.relay != Relay::Passed;
+        let Some(held) = self.held.get_mut(&id).filter(goes) else { return false };
         let done = f64::from(held.tokens);
         let max_out = held.seq.max_out + f64::from(held.done);
         let broken = BrokenStream { went_on: held.went_on, tokens: done, max_out, ends_by: held.ends_by };
@@ -476,7 +482,7 @@
         let began = status == Status::Streaming;
         // A stalled client is no word against its writer.
         let ending = if held.stalled_since.is_some() { Ending::Cancelled } else { Ending::TimedOut };
-        let streamed = held.relay == Relay::Streamed;
+        let streamed = held.relay != Relay::Whole;
         let late = now >= held.ends_by || reason == Reason::Stalled;
         let over = began && (late || (streamed && !self.goes_on(now, id)));
         self.settle(now, id, attempt, ending.outcome(began), over, over.then_some(reason), out);
@@ -490,7 +496,7 @@
         let Some(attempt) = running else { return self.schedule(now, id, reason, out) };
         let Attempt { server, step, status, .. } = held.seq.attempts[attempt];
         out.push(Action::Cancel { id, attempt, server, step });
-        let last = status == Status::Streaming && held.relay == Relay::Streamed;
+        let last = status == Status::Streaming && held.relay != Relay::Whole;
         match self.brain.settle(now, &mut held.seq, attempt, Outcome::Cancelled, last) {
             Settled::Ended { .. } => {
                 self.counts.aborted += 1;
@@ -508,6 +514,7 @@
         let traffic = &self.types[held.seq.traffic.0];
         let pause = match held.stalled_since {
             Some(since) => since.saturating_add(pace::stalled_for()),
+            None if held.relay == Relay::Passed => held.heard.saturating_add(pace::passed_silent_for()),
             None => held.heard.saturating_add(pace::silent_for(traffic)),
         };
         pause.min(held.ends_by)
--- a/conductor/src/connections.rs
+++ b/conductor/src/connections.rs
@@ -11,6 +11,8 @@
 const IDLE_ALL: usize = 4096;
 /// Servers close idle connections after some time of their own. Where nothing is known of it, this is safe.
 const IDLE_FOR: Nanos = 20_000_000_000;
+/// An idle connection is given up this much before its server would close it: the request still has to get there.
+const CLOSED_AHEAD: Nanos = 1_000_000_000;
 /// Never trust an idle connection for less than this, nor learn to.
 const IDLE_LEAST: Nanos = 500_000_000;
 /// After a connection broke under a request, the next ones are trusted for this part of the time it was idle.
@@ -28,15 +30,33 @@
 pub struct Connections<S, C> {
     servers: BTreeMap<S, Idle<C>>,
     all: usize,
+    idle_for: Nanos,
+    idle_all: usize,
 }
 
 impl<S: Ord + Copy, C> Default for Connections<S, C> {
     fn default() -> Self {
-        Connections { servers: BTreeMap::new(), all: 0 }
+        Self::bounded(IDLE_FOR, IDLE_ALL)
     }
 }
 
 impl<S: Ord + Copy, C> Connections<S, C> {
+    /// Where servers tell for how long they keep an idle connection, and descriptors are few.
+    pub fn bounded(idle_for: Nanos, idle_all: usize) -> Self {
+        let idle_for = idle_for.saturating_sub(CLOSED_AHEAD).clamp(IDLE_LEAST, IDLE_FOR);
+        Connections { servers: BTreeMap::new(), all: 0, idle_for, idle_all }
+    }
+
+    /// Drops the connection that was idle for longest; false where none is.
+    pub fn shed(&mut self) -> bool {
+        let oldest = |idle: &Idle<C>| idle.kept.first().map(|(_, since)| *since);
+        let longest = self.servers.values_mut().filter(|idle| !idle.kept.is_empty());
+        let Some(idle) = longest.min_by_key(|idle| oldest(idle)) else { return false };
+        idle.kept.remove(0);
+        self.all -= 1;
+        true
+    }
+
     /// The connection to use for an exchange, with how long it was idle. Ones that are closed (`open` tells) or were
     /// idle for too long are dropped on the way. The one used last goes first, so that the others can run out.
     pub fn take(&mut self, now: Nanos, server: S, open: impl Fn(&C) -> bool) -> Option<(C, Nanos)> {
@@ -53,9 +73,10 @@
 
     /// An exchange has ended well: its connection may serve another.
     pub fn keep(&mut self, now: Nanos, server: S, connection: C) {
-        let idle = self.servers.entry(server).or_insert(Idle { kept: Vec::new(), trusted_for: IDLE_FOR });
-        idle.trusted_for = ((idle.trusted_for as f64 * TRUST_BACK) as Nanos).min(IDLE_FOR);
-        if idle.kept.len() < IDLE_MOST && self.all < IDLE_ALL {
+        let idle =
+            self.servers.entry(server).or_insert(Idle { kept: Vec::new(), trusted_for: self.idle_for });
+        idle.trusted_for = ((idle.trusted_for as f64 * TRUST_BACK) as Nanos).min(self.idle_for);
+        if idle.kept.len() < IDLE_MOST && self.all < self.idle_all {
             idle.kept.push((connection, now));
             self.all += 1;
         }
--- a/conductor/src/doors.rs
+++ b/conductor/src/doors.rs
@@ -39,9 +39,14 @@
 
 impl Doors {
     pub fn new(connections: usize, largest_body: usize) -> Self {
+        Self::bounded(connections, largest_body, largest_body.saturating_mul(BODIES))
+    }
+
+    /// With so many bytes of bodies in all, where memory is small.
+    pub fn bounded(connections: usize, largest_body: usize, most_bytes: usize) -> Self {
         Doors {
             most_connections: connections,
-            most_bytes: largest_body.saturating_mul(BODIES),
+            most_bytes,
             largest: largest_body,
             all: Inside::default(),
             by_address: BTreeMap::new(),
--- /dev/null
+++ b/conductor/src/leases.rs
@@ -0,0 +1,69 @@
+//! Where a sequence may have left a read state: what is to be let go once nothing will take it.
+//!
+//! A read that was broken off may have ended well just then, and its state be left at its reader like any other. So
+//! every ending of a read but those that prove it never ran counts as one that left something.
+
+use crate::proof::Ending;
+use crate::releases::State;
+use petrelshore::interface::ServerId;
+
+/// The readers of one sequence that may hold something for it.
+#[derive(Clone, Debug, Default)]
+pub struct Leases {
+    at: Vec<(ServerId, State)>,
+}
+
+impl Leases {
+    /// A read has ended, as its socket showed.
+    pub fn read_ended(&mut self, server: ServerId, ending: Ending) {
+        let state = match ending {
+            Ending::ReadDone { .. } => State::Held,
+            _ if ending.proves_unrun() => return,
+            _ => State::CutOff,
+        };
+        self.at.retain(|(reader, _)| *reader != server);
+        self.at.push((server, state));
+    }
+
+    /// A writer has taken the state, or has found that it is not there any more.
+    pub fn state_gone(&mut self) {
+        self.at.retain(|(_, state)| *state != State::Held);
+    }
+
+    /// What reads that were broken off may have left, to be let go while no attempt is out.
+    pub fn cut_off(&mut self) -> Vec<(ServerId, State)> {
+        let left = self.at.iter().copied().filter(|(_, state)| *state == State::CutOff).collect();
+        self.at.retain(|(_, state)| *state == State::Held);
+        left
+    }
+
+    /// All of it.
+    pub fn all(&mut self) -> Vec<(ServerId, State)> {
+        std::mem::take(&mut self.at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_read_leaves_something_unless_it_provably_never_ran() {
+        let (near, far) = (ServerId(1), ServerId(2));
+        let mut leases = Leases::default();
+        for unrun in [Ending::NotConnected, Ending::HandedBack, Ending::RefusedFull] {
+            leases.read_ended(near, unrun);
+        }
+        assert_eq!(leases.all(), []);
+        for cut in [Ending::Cancelled, Ending::Reset, Ending::TimedOut, Ending::Malformed] {
+            leases.read_ended(near, cut);
+            assert_eq!(leases.cut_off(), [(near, State::CutOff)], "{cut:?}");
+        }
+        leases.read_ended(near, Ending::Cancelled);
+        leases.read_ended(far, Ending::ReadDone { kept: 0.0 });
+        assert_eq!(leases.cut_off(), [(near, State::CutOff)]);
+        assert_eq!(leases.clone().all(), [(far, State::Held)]);
+        leases.state_gone();
+        assert_eq!(leases.all(), []);
+    }
+}
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -7,7 +7,8 @@
 //! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the decisions ([`intake`]), which connection it rides on
-//! ([`connections`]), which states are still to be let go ([`releases`]), what a repeated request is told ([`replays`]), how much a client may withdraw ([`withdrawals`]), and
+//! ([`connections`]), which states are still to be let go ([`releases`]) and where a sequence left one ([`leases`]), whom a full house
+//! closes ([`lobby`]), when a gateway that is told to stop leaves ([`leaving`]), what a repeated request is told ([`replays`]), how much a client may withdraw ([`withdrawals`]), and
 //! what one that got no answer may do by itself ([`answers`]). Of connections that carry many calls it is decided
 //! how their peers may behave ([`manners`]) and which stream is at fault when all stand still ([`windows`]).
 //! [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
@@ -19,7 +20,10 @@
 pub mod desk;
 pub mod doors;
 pub mod intake;
+pub mod leases;
+pub mod leaving;
 pub mod limits;
+pub mod lobby;
 pub mod manners;
 pub mod pace;
 pub mod policy;
--- /dev/null
+++ b/conductor/src/lobby.rs
@@ -0,0 +1,157 @@
+//! Which connections of clients a gateway with few descriptors closes, and when.
+//!
+//! Clients keep their connections, some for ever, and some connect by the hundreds and say nothing. What has no open
+//! request may be closed after a while; where the house is full, those that have never said anything go first.
+
+use petrelshore::interface::Nanos;
+use std::collections::BTreeMap;
+
+const MILLISECOND: Nanos = 1_000_000;
+/// A connection's first head must be whole after this, and a later one this long after its first byte.
+pub const HEAD_WITHIN: Nanos = 2_200 * MILLISECOND;
+/// The same for the request's body.
+pub const BODY_WITHIN: Nanos = 2_700 * MILLISECOND;
+/// A connection without an open request is closed after this at the latest.
+const IDLE_FOR: Nanos = 15_000 * MILLISECOND;
+/// And not before this while its client may be about to ask.
+const IDLE_LEAST: Nanos = 2_000 * MILLISECOND;
+/// In a full house one that never said a thing goes after this: clients who ask do so as they connect.
+const SILENT_LEAST: Nanos = 300 * MILLISECOND;
+/// Part of the room from which on idle connections have to go for new ones.
+const CROWDED: f64 = 0.8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seat {
+    /// Nothing was asked on it yet.
+    New(Nanos),
+    Idle(Nanos),
+    Asking,
+}
+
+/// A connection, by a number of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SeatId(pub u64);
+
+/// Open connections of clients.
+#[derive(Debug)]
+pub struct Lobby {
+    most: usize,
+    next: u64,
+    seats: BTreeMap<SeatId, Seat>,
+}
+
+/// Whether a new connection may stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    Seated(SeatId),
+    /// Every place is taken by somebody who asks.
+    Full,
+}
+
+impl Lobby {
+    pub fn new(most: usize) -> Self {
+        Lobby { most, next: 0, seats: BTreeMap::new() }
+    }
+
+    /// A client has connected. In a crowded house somebody may have to leave for it.
+    pub fn enter(&mut self, now: Nanos) -> (Entry, Option<SeatId>) {
+        let leaves =
+            if self.seats.len() as f64 >= self.most as f64 * CROWDED { self.dispensable(now) } else { None };
+        if let Some(seat) = leaves {
+            self.seats.remove(&seat);
+        }
+        if self.seats.len() >= self.most {
+            return (Entry::Full, leaves);
+        }
+        let seat = SeatId(self.next);
+        self.next += 1;
+        self.seats.insert(seat, Seat::New(now));
+        (Entry::Seated(seat), leaves)
+    }
+
+    /// A request has begun to come, or its answer is written and the connection waits for the next.
+    pub fn asks(&mut self, seat: SeatId) {
+        self.set(seat, Seat::Asking);
+    }
+
+    pub fn idles(&mut self, now: Nanos, seat: SeatId) {
+        self.set(seat, Seat::Idle(now));
+    }
+
+    pub fn leave(&mut self, seat: SeatId) {
+        self.seats.remove(&seat);
+    }
+
+    /// For how long a connection may wait for the first byte of its next request.
+    pub fn may_idle(&self, seat: SeatId) -> Nanos {
+        match self.seats.get(&seat) {
+            Some(Seat::New(_)) => HEAD_WITHIN,
+            _ => IDLE_FOR,
+        }
+    }
+
+    /// Connections without an open request, for a gateway that leaves.
+    pub fn idle(&self) -> Vec<SeatId> {
+        let idle = self.seats.iter().filter(|(_, seat)| **seat != Seat::Asking);
+        idle.map(|(seat, _)| *seat).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.seats.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.seats.is_empty()
+    }
+
+    fn set(&mut self, seat: SeatId, to: Seat) {
+        if let Some(seat) = self.seats.get_mut(&seat) {
+            *seat = to;
+        }
+    }
+
+    /// Whom nobody will miss: silent ones first, then the one that was idle for longest.
+    fn dispensable(&self, now: Nanos) -> Option<SeatId> {
+        let by = |of: fn(&Seat) -> Option<Nanos>, least: Nanos| {
+            let waits = self.seats.iter().filter_map(move |(id, seat)| Some((of(seat)?, *id)));
+            waits.filter(|(since, _)| now.saturating_sub(*since) >= least).min().map(|(_, id)| id)
+        };
+        let silent = by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, SILENT_LEAST);
+        silent
+            .or_else(|| by(|seat| if let Seat::Idle(since) = seat { Some(*since) } else { None }, IDLE_LEAST))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Nanos = 1_000 * MILLISECOND;
+
+    fn seated(lobby: &mut Lobby, now: Nanos) -> SeatId {
+        match lobby.enter(now) {
+            (Entry::Seated(seat), None) => seat,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn in_a_crowd_silent_ones_go_first_then_the_longest_idle_and_never_one_that_asks() {
+        let mut lobby = Lobby::new(5);
+        let seats: Vec<SeatId> = (0..4).map(|_| seated(&mut lobby, 0)).collect();
+        lobby.asks(seats[0]);
+        lobby.idles(2 * SECOND, seats[1]);
+        lobby.idles(SECOND, seats[2]);
+        assert_eq!(lobby.enter(3 * SECOND), (Entry::Seated(SeatId(4)), Some(seats[3])), "the silent one");
+        lobby.asks(SeatId(4));
+        assert_eq!(lobby.enter(3 * SECOND).1, Some(seats[2]), "the longest idle");
+        lobby.asks(SeatId(5));
+        assert_eq!(lobby.enter(3 * SECOND), (Entry::Seated(SeatId(6)), None), "idle for too short a time");
+        lobby.asks(SeatId(6));
+        lobby.asks(seats[1]);
+        assert_eq!(lobby.enter(9 * SECOND), (Entry::Full, None), "all ask");
+        lobby.leave(seats[1]);
+        assert_eq!(lobby.enter(9 * SECOND), (Entry::Seated(SeatId(7)), None));
+        assert_eq!((lobby.len(), lobby.idle()), (5, vec![SeatId(7)]));
+    }
+}
--- a/conductor/src/pace.rs
+++ b/conductor/src/pace.rs
@@ -15,6 +15,9 @@
 const SILENT_TOKENS: u64 = 40;
 /// Pauses shorter than this prove nothing, whatever the pace.
 const SILENT_LEAST: Nanos = 2 * SECOND;
+/// The same for a stream that is passed on event by event, whatever its pace: a slow writer sends an event every few
+/// tokens, and none that still comes may be cut; one that is dead must be ended within 5 s of its last event.
+const PASSED_SILENT: Nanos = 4_600 * MILLISECOND;
 /// A client that takes nothing for this long holds a writer's memory for nobody.
 const STALLED: Nanos = 10 * SECOND;
 /// A whole answer may take so many times what its type's pace allows for its most tokens.
@@ -43,6 +46,16 @@
     abandon_at.saturating_add(stream.max(WHOLE_LEAST))
 }
 
+/// The same for a stream that is passed on: it ends only once each of its tokens could have come at the last moment.
+pub fn passed_ends_by(abandon_at: Nanos, most_tokens: f64) -> Nanos {
+    abandon_at.saturating_add((most_tokens.max(1.0) as u64).saturating_mul(PASSED_SILENT))
+}
+
+/// The longest pause of a stream that is passed on.
+pub fn passed_silent_for() -> Nanos {
+    PASSED_SILENT
+}
+
 /// The longest pause of a running stream before its writer counts as lost.
 pub fn silent_for(traffic: &TrafficType) -> Nanos {
     traffic.token_pace.saturating_mul(SILENT_TOKENS).max(SILENT_LEAST)
--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -1,9 +1,10 @@
 //! One gateway on the simulator's wire: a shell round the conductor. It decides nothing itself.
 
-use crate::decode::{Line, Malformed, Names, settings};
+use crate::decode::{Line, Malformed};
 use petrelshore::interface::*;
 use petrelshore_conductor::intake::stable_id;
 use petrelshore_conductor::{Action, Conductor, Dispatch, NewSequence, Relay};
+use petrelshore_platform_terms::settings::{Names, settings};
 use std::collections::HashMap;
 use std::fmt::Write;
 
@@ -19,7 +20,9 @@
 
 impl Instance {
     pub fn configure(number: u64, now: Nanos, line: &Line, reply: &mut String) -> Result<Self, Malformed> {
-        let (deployment, names) = settings(line.need("options")?)?;
+        let options = serde_json::from_str(line.need("options")?);
+        let options = options.map_err(|error| format!("CONFIGURE: field options: {error}"))?;
+        let (deployment, names) = settings(&options).map_err(|wrong| format!("CONFIGURE: {wrong}"))?;
         if deployment.discovery == Discovery::Asked {
             let _ = writeln!(reply, "SUBSCRIBE i={number} want=1");
         }
--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -28,6 +28,21 @@
     Ok(Listening { listener, address })
 }
 
+impl Listening {
+    /// The next client. A failed accept never ends the front, nor spins it.
+    pub async fn next(&self) -> (TcpStream, SocketAddr) {
+        loop {
+            match self.listener.accept().await {
+                Ok(accepted) => return accepted,
+                Err(error) => {
+                    debug!(%error, "accept failed");
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
 /// The way in to one gateway, for all of its fronts together: their connections and bodies share one bound.
 #[derive(Clone)]
 pub struct Entrance {
@@ -53,14 +68,7 @@
     {
         let spawner = self.gateway.spawner().clone();
         loop {
-            let (stream, peer) = match listening.listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    debug!(%error, "accept failed");
-                    Timer::after(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+            let (stream, peer) = listening.next().await;
             // Tokens are small and must not wait for each other.
             let _ = stream.set_nodelay(true);
             let client = intake::stable_id(&peer.ip().to_string());
@@ -91,7 +99,7 @@
 impl Inside {
     /// The room of a body that is about to be read.
     pub fn reading(&self) -> Reading {
-        Reading { doors: self.doors.clone(), client: self.client, bytes: 0 }
+        Reading::new(self.doors.clone(), self.client)
     }
 }
 
@@ -109,6 +117,10 @@
 }
 
 impl Reading {
+    pub fn new(doors: Rc<RefCell<Doors>>, client: u64) -> Self {
+        Reading { doors, client, bytes: 0 }
+    }
+
     /// Room for a body that has come to so many bytes, or was told to.
     pub fn grow_to(&mut self, bytes: usize) -> Result<(), Shut> {
         let more = bytes.saturating_sub(self.bytes);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{Answer, Ask};
 use crate::clock::Clock;
+use crate::timers::Timers;
 use async_channel::Sender;
 use async_executor::Task;
 use async_io::Timer;
@@ -16,7 +17,7 @@
 use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
 use petrelshore_settings::Settings;
 use serde_json::value::RawValue;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -71,9 +72,7 @@
     guard: RefCell<Guard>,
     addresses: RefCell<BTreeMap<ServerId, SocketAddr>>,
     tickets: RefCell<HashMap<SeqId, Ticket>>,
-    /// Told when a timer was set that is due before the one waited for.
-    sooner: Event,
-    waits_for: Cell<Nanos>,
+    timers: Timers,
     /// Told when a sequence has left.
     emptied: Event,
     /// Told when nothing further is taken.
@@ -109,8 +108,7 @@
             guard: RefCell::default(),
             addresses: RefCell::default(),
             tickets: RefCell::default(),
-            sooner: Event::new(),
-            waits_for: Cell::new(Nanos::MAX),
+            timers: Timers::default(),
             emptied: Event::new(),
             stopping: Event::new(),
             settings,
@@ -119,8 +117,11 @@
         };
         let gateway = Gateway(Rc::new(inner));
         gateway.first_list()?;
-        let timers = gateway.0.clone();
-        gateway.0.spawner.run(timers.run_timers());
+        let inner = gateway.0.clone();
+        gateway.0.spawner.run(async move {
+            let next_due = || inner.desk.borrow().next_due();
+            inner.timers.run(inner.clock, next_due, || inner.tell(|desk, now, out| desk.due(now, out))).await;
+        });
         Ok(gateway)
     }
 
@@ -275,30 +276,7 @@
                 Order::Answer { id, last } => self.answer(id, last),
             }
         }
-        if self.desk.borrow().next_due().is_some_and(|due| due < self.waits_for.get()) {
-            self.sooner.notify(usize::MAX);
-        }
-    }
-
-    async fn run_timers(self: Rc<Self>) {
-        loop {
-            let sooner = self.sooner.listen();
-            let due = self.desk.borrow().next_due();
-            self.waits_for.set(due.unwrap_or(Nanos::MAX));
-            match due {
-                Some(due) if due <= self.clock.now() => {
-                    self.tell(|desk, now, out| desk.due(now, out));
-                    future::yield_now().await;
-                }
-                Some(due) => {
-                    let reached = async {
-                        Timer::at(self.clock.instant(due)).await;
-                    };
-                    future::or(sooner, reached).await;
-                }
-                None => sooner.await,
-            }
-        }
+        self.timers.check(self.desk.borrow().next_due());
     }
 
     fn send(self: &Rc<Self>, sending: Sending<Rc<RawValue>>) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod clock;
 mod gateway;
+mod timers;
 
 pub use answer::{Answer, Ask, Next};
 pub use clock::Clock;
@@ -15,3 +16,4 @@
 pub use petrelshore_conductor::Chooser;
 pub use petrelshore_conductor::desk::{Final, Refusal, Request, Usage};
 pub use petrelshore_engine::Spawner;
+pub use timers::Timers;
--- a/grpc/src/exchange.rs
+++ b/grpc/src/exchange.rs
@@ -90,7 +90,7 @@
     let answer = gateway.take(ask)?;
     let (id, created) = (format!("{:016x}", answer.id().0), call::seconds(arrived) as i64);
     match relay {
-        Relay::Streamed => stream(reply, answer, v1::Begun { id, model, created }).await,
+        Relay::Streamed | Relay::Passed => stream(reply, answer, v1::Begun { id, model, created }).await,
         Relay::Whole => whole(reply, answer, v1::Begun { id, model, created }).await,
     }
 }
--- /dev/null
+++ b/platform-engine/src/client.rs
@@ -0,0 +1,244 @@
+//! Exchanges with model servers, over connections that are kept between them.
+
+use crate::stream::Stream;
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use petrelshore::interface::{Nanos, Report};
+use petrelshore_conductor::connections::Connections;
+use petrelshore_conductor::proof::Ending;
+use petrelshore_framing::body::Body;
+use petrelshore_framing::head::AnswerHead;
+use petrelshore_framing::wire::{Broken, Wire};
+use petrelshore_gateway::Clock;
+use petrelshore_platform_terms::load;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Largest whole answer of a model server, and largest chunk of a stream: a body holds no more.
+pub const LARGEST: usize = 256 << 10;
+/// Most answers of status 1xx before the one that counts.
+const INTERIM: usize = 1000;
+
+/// A request that goes to a model server as its client sent it.
+pub struct Call {
+    pub to: SocketAddr,
+    pub target: Bytes,
+    pub id: Rc<str>,
+    pub body: Bytes,
+    /// How long the gateway will wait.
+    pub limit: Nanos,
+    pub connect_within: Duration,
+    /// Never on a connection that was used before.
+    pub fresh: bool,
+}
+
+/// What an exchange told, with the load that came along.
+#[derive(Debug)]
+pub struct Heard<T> {
+    pub result: Result<T, Ending>,
+    pub load: Option<Report>,
+}
+
+/// A connection and its place among all that this gateway may hold.
+pub(crate) struct Line {
+    pub(crate) wire: Wire,
+    _place: Rc<()>,
+}
+
+pub(crate) struct Shared {
+    clock: Clock,
+    idle: RefCell<Connections<SocketAddr, Line>>,
+    places: Rc<()>,
+    most: usize,
+    pub(crate) fields: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct Client(Rc<Shared>);
+
+impl Client {
+    /// At most so many connections are open at once; servers close idle ones after `idle_for`. `fields` are the
+    /// names in load reports.
+    pub fn new(clock: Clock, most: usize, idle_for: Nanos, fields: Vec<String>) -> Self {
+        let idle = RefCell::new(Connections::bounded(idle_for, most));
+        Client(Rc::new(Shared { clock, idle, places: Rc::new(()), most, fields }))
+    }
+
+    /// Has a prompt read; how many of its tokens had been kept.
+    pub async fn read(&self, call: &Call) -> Heard<f64> {
+        let (head, mut body, mut line) = match self.ask(call).await {
+            Ok(answered) => answered,
+            Err(ending) => return Heard { result: Err(ending), load: None },
+        };
+        let load = self.0.load_of(&head);
+        let result = async {
+            let text = whole(&mut line, &mut body).await;
+            if head.status != 202 {
+                return Err(refusal(&head));
+            }
+            let text = text?;
+            self.0.keep(call.to, line, &head);
+            let answer: serde_json::Value = serde_json::from_slice(&text).map_err(|_| Ending::Malformed)?;
+            Ok(answer["cached_tokens"].as_f64().filter(|kept| kept.is_finite()).unwrap_or(0.0).max(0.0))
+        };
+        Heard { result: result.await, load }
+    }
+
+    /// Has an answer written.
+    pub async fn write(&self, call: &Call) -> Heard<Stream> {
+        let (head, mut body, mut line) = match self.ask(call).await {
+            Ok(answered) => answered,
+            Err(ending) => return Heard { result: Err(ending), load: None },
+        };
+        let load = self.0.load_of(&head);
+        if head.status == 200 {
+            let stream = Stream::new(self.0.clone(), call.to, head, body, line);
+            return Heard { result: Ok(stream), load };
+        }
+        if whole(&mut line, &mut body).await.is_ok() {
+            self.0.keep(call.to, line, &head);
+        }
+        Heard { result: Err(refusal(&head)), load }
+    }
+
+    /// Tells a model server once to let go of everything held for a request.
+    pub async fn release(&self, to: SocketAddr, id: &str, within: Duration) -> Result<(), Ending> {
+        let message = format!("DELETE /kv/leases/{id} HTTP/1.1\r\nHost: {to}\r\n\r\n");
+        let told = async {
+            let (head, mut body, mut line) = self.exchange(to, message.as_bytes(), within, false).await?;
+            whole(&mut line, &mut body).await?;
+            self.0.keep(to, line, &head);
+            if head.status == 204 { Ok(()) } else { Err(Ending::Refused { status: head.status }) }
+        };
+        let late = async {
+            Timer::after(within).await;
+            Err(Ending::TimedOut)
+        };
+        future::or(told, late).await
+    }
+
+    /// Drops connections to servers that are no longer listed.
+    pub fn keep_only(&self, listed: impl Fn(&SocketAddr) -> bool) {
+        self.0.idle.borrow_mut().forget(|address| !listed(address));
+    }
+
+    /// Connections that are open, and those of them that wait for an exchange.
+    pub fn open(&self) -> (usize, usize) {
+        (Rc::strong_count(&self.0.places) - 1, self.0.idle.borrow().idle())
+    }
+
+    async fn ask(&self, call: &Call) -> Result<(AnswerHead, Body, Line), Ending> {
+        let target = std::str::from_utf8(&call.target).map_err(|_| Ending::HandedBack)?;
+        let (to, id, length) = (call.to, &call.id, call.body.len());
+        let wait = call.limit / 1_000_000;
+        let mut message = format!(
+            "POST {target} HTTP/1.1\r\nHost: {to}\r\nReq-Id: {id}\r\nReq-Deadline-Ms: {wait}\r\n\
+             Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+        )
+        .into_bytes();
+        message.extend_from_slice(&call.body);
+        self.exchange(to, &message, call.connect_within, call.fresh).await
+    }
+
+    /// Sends one request. Where a connection breaks before the last byte is written, nothing has run: if it had been
+    /// used before, a new one carries the request.
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        message: &[u8],
+        connect_within: Duration,
+        fresh: bool,
+    ) -> Result<(AnswerHead, Body, Line), Ending> {
+        let pooled = if fresh { None } else { self.0.pooled(to) };
+        if let Some((line, waited)) = pooled {
+            if line.wire.write(message).await.is_ok() {
+                let answered = answered(line).await;
+                if let Err(Ending::Reset) = answered {
+                    self.0.idle.borrow_mut().broke(self.0.clock.now(), to, waited);
+                }
+                return answered;
+            }
+            self.0.idle.borrow_mut().broke(self.0.clock.now(), to, waited);
+        }
+        let line = self.0.connect(to, connect_within).await.ok_or(Ending::NotConnected)?;
+        line.wire.write(message).await.map_err(|_| Ending::NotConnected)?;
+        answered(line).await
+    }
+}
+
+impl Shared {
+    fn pooled(&self, to: SocketAddr) -> Option<(Line, Nanos)> {
+        self.idle.borrow_mut().take(self.clock.now(), to, |line| line.wire.quiet())
+    }
+
+    /// A new connection. Where all places are taken, the one that was idle for longest makes room.
+    async fn connect(&self, to: SocketAddr, within: Duration) -> Option<Line> {
+        let full = || Rc::strong_count(&self.places) > self.most;
+        if full() && !self.idle.borrow_mut().shed() {
+            return None;
+        }
+        let place = self.places.clone();
+        Some(Line { wire: Wire::connect(to, within).await?, _place: place })
+    }
+
+    /// Takes a connection back whose exchange is over, unless something came on it unasked.
+    pub(crate) fn keep(&self, to: SocketAddr, line: Line, head: &AnswerHead) {
+        if head.keeps && line.wire.buffer.is_empty() {
+            self.idle.borrow_mut().keep(self.clock.now(), to, line);
+        }
+    }
+
+    fn load_of(&self, head: &AnswerHead) -> Option<Report> {
+        load::pairs(head.fields.only("Srv-Load")?, &self.fields)
+    }
+}
+
+async fn answered(mut line: Line) -> Result<(AnswerHead, Body, Line), Ending> {
+    for _ in 0..INTERIM {
+        let head = line.wire.answer().await.map_err(ending)?;
+        match head.status {
+            101 => return Err(Ending::Malformed),
+            100..200 => continue,
+            _ => {
+                let body = Body::new(head.framing, LARGEST as u64);
+                return Ok((head, body, line));
+            }
+        }
+    }
+    Err(Ending::Malformed)
+}
+
+pub(crate) fn ending(broken: Broken) -> Ending {
+    match broken {
+        Broken::Unreadable(_) => Ending::Malformed,
+        Broken::Closed => Ending::Reset,
+    }
+}
+
+/// The whole body of an answer, within its bound.
+async fn whole(line: &mut Line, body: &mut Body) -> Result<BytesMut, Ending> {
+    let mut data = BytesMut::new();
+    while !body.decode(&mut line.wire.buffer, &mut data).map_err(|_| Ending::Malformed)? {
+        if data.len() > LARGEST {
+            return Err(Ending::Malformed);
+        }
+        match line.wire.more().await {
+            Ok(()) => {}
+            Err(Broken::Closed) if body.may_end() => break,
+            Err(broken) => return Err(ending(broken)),
+        }
+    }
+    Ok(data)
+}
+
+/// Only the mark proves that nothing ran, and only with the status that it belongs to.
+fn refusal(head: &AnswerHead) -> Ending {
+    match (head.status, head.fields.only("Srv-Declined")) {
+        (503 | 504, Some("1")) => Ending::RefusedFull,
+        (410, Some("1")) => Ending::StateMissing,
+        (status, _) => Ending::Refused { status },
+    }
+}
--- /dev/null
+++ b/platform-engine/src/stream.rs
@@ -0,0 +1,96 @@
+//! A stream of events that is passed on as it comes.
+
+use crate::client::{LARGEST, Line, Shared, ending};
+use bytes::{Bytes, BytesMut};
+use petrelshore::interface::Report;
+use petrelshore_conductor::proof::Ending;
+use petrelshore_framing::body::{Body, Framing};
+use petrelshore_framing::head::AnswerHead;
+use petrelshore_framing::wire::Broken;
+use petrelshore_platform_terms::load;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// An event larger than this is none.
+const LARGEST_EVENT: usize = 64 << 10;
+/// The comment by which a stream tells its server's load.
+const LOAD: &str = ": Srv-Load:";
+/// How the lines of an event begin.
+const LINES: [&[u8]; 5] = [b"data:", b":", b"event:", b"id:", b"retry:"];
+
+pub struct Stream {
+    client: Rc<Shared>,
+    to: SocketAddr,
+    head: AnswerHead,
+    body: Body,
+    line: Option<Line>,
+    data: BytesMut,
+    pub load: Option<Report>,
+}
+
+impl Stream {
+    pub(crate) fn new(client: Rc<Shared>, to: SocketAddr, head: AnswerHead, body: Body, line: Line) -> Self {
+        Stream { client, to, head, body, line: Some(line), data: BytesMut::new(), load: None }
+    }
+
+    /// The events that have come since, whole and unchanged; none once the stream is whole. Its connection then
+    /// serves another exchange, unless more came behind it.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Ending> {
+        if self.head.framing != Framing::Chunked {
+            return Err(Ending::Malformed);
+        }
+        loop {
+            let Some(line) = self.line.as_mut() else { return Ok(None) };
+            let over =
+                self.body.decode(&mut line.wire.buffer, &mut self.data).map_err(|_| Ending::Malformed)?;
+            let whole = if over { self.data.len() } else { whole_events(&self.data) };
+            if whole > 0 {
+                let events = self.data.split_to(whole).freeze();
+                self.look_at(&events)?;
+                return Ok(Some(events));
+            }
+            if over {
+                if let Some(line) = self.line.take() {
+                    self.client.keep(self.to, line, &self.head);
+                }
+                return Ok(None);
+            }
+            if self.data.len() > LARGEST_EVENT.min(LARGEST) {
+                return Err(Ending::Malformed);
+            }
+            line.wire.more().await.map_err(|broken: Broken| ending(broken))?;
+        }
+    }
+
+    /// Guards against passing noise on, and takes up the load that a comment tells.
+    fn look_at(&mut self, events: &[u8]) -> Result<(), Ending> {
+        for line in events.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if !line.is_empty() && !LINES.iter().any(|begin| line.starts_with(begin)) {
+                return Err(Ending::Malformed);
+            }
+            let told = line.strip_prefix(LOAD.as_bytes()).and_then(|text| std::str::from_utf8(text).ok());
+            self.load = told.and_then(|text| load::pairs(text.trim(), &self.client.fields)).or(self.load);
+        }
+        Ok(())
+    }
+}
+
+/// Up to where whole events go.
+fn whole_events(data: &[u8]) -> usize {
+    let blank = |at: &usize| data[*at] == b'\n' && matches!(data[..*at], [.., b'\n'] | [.., b'\n', b'\r']);
+    (0..data.len()).rev().find(blank).map_or(0, |at| at + 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_are_passed_on_whole() {
+        assert_eq!(whole_events(b"data: a\n\ndata: b\n\ndata: c"), 18);
+        assert_eq!(whole_events(b"data: a\r\n\r\ndata"), 11);
+        assert_eq!(whole_events(b"data: a\n"), 0);
+        assert_eq!(whole_events(b""), 0);
+    }
+}
--- /dev/null
+++ b/platform-front/src/connection.rs
@@ -0,0 +1,223 @@
+//! One client's connection: its requests, one after the other.
+
+use crate::house::{House, LARGEST_BODY};
+use crate::reply;
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use petrelshore::interface::Nanos;
+use petrelshore_conductor::doors::Shut;
+use petrelshore_conductor::lobby::{BODY_WITHIN, HEAD_WITHIN, SeatId};
+use petrelshore_framing::Unreadable;
+use petrelshore_framing::body::{Body, Framing};
+use petrelshore_framing::head::RequestHead;
+use petrelshore_framing::wire::{Broken, Wire};
+use petrelshore_front::entrance::{Reading, stalled_for};
+use petrelshore_platform::{Answer, Message, Next, Refused};
+use petrelshore_platform_terms::request::sequence;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::debug;
+
+const CHAT: &str = "/v1/chat/completions";
+/// What a client sends behind its open request is kept up to this.
+const AHEAD: usize = 64 << 10;
+
+/// An error that ends the connection: what it holds can't be trusted any further, or is not wanted.
+struct Turned {
+    status: u16,
+    what: String,
+}
+
+fn turned<T>(status: u16, what: impl Into<String>) -> Result<T, Turned> {
+    Err(Turned { status, what: what.into() })
+}
+
+/// What became of waiting for a request.
+enum Came {
+    Head(RequestHead),
+    Turned(Turned),
+    /// Nothing more will come.
+    Left,
+}
+
+/// Serves a connection until it ends.
+pub async fn serve(house: &House, seat: SeatId, mut wire: Wire) {
+    let clock = house.service().clock();
+    let mut opened = Some(clock.now());
+    loop {
+        let began = match first_byte(house, seat, &mut wire, opened.is_some()).await {
+            true => opened.take().unwrap_or_else(|| clock.now()),
+            false => return,
+        };
+        house.lobby().borrow_mut().asks(seat);
+        let head = match head(house, began, &mut wire).await {
+            Came::Head(head) => head,
+            Came::Turned(turned) => return turn_away(&wire, turned).await,
+            Came::Left => return,
+        };
+        let keeps = match request(house, seat, began, &head, &mut wire).await {
+            Ok(keeps) => keeps,
+            Err(turned) => return turn_away(&wire, turned).await,
+        };
+        if !keeps || !head.keeps || house.leaving() {
+            return;
+        }
+        house.lobby().borrow_mut().idles(clock.now(), seat);
+    }
+}
+
+/// Waits for the next request to begin; false where the connection ends first.
+async fn first_byte(house: &House, seat: SeatId, wire: &mut Wire, new: bool) -> bool {
+    if !wire.buffer.is_empty() {
+        return true;
+    }
+    let within = Duration::from_nanos(house.lobby().borrow().may_idle(seat));
+    let came = async { wire.more().await.is_ok() };
+    let late = async {
+        Timer::after(within).await;
+        false
+    };
+    let came = future::or(came, late).await;
+    if !came && new {
+        debug!(seat = seat.0, "a connection without a request ended");
+    }
+    came
+}
+
+async fn head(house: &House, began: Nanos, wire: &mut Wire) -> Came {
+    let late = async {
+        Timer::at(house.service().clock().instant(began + HEAD_WITHIN)).await;
+        Came::Turned(Turned { status: 408, what: "the head was not whole in time".to_owned() })
+    };
+    let whole = async {
+        match wire.request().await {
+            Ok(head) => Came::Head(head),
+            Err(Broken::Unreadable(what @ Unreadable::HeadTooLong)) => {
+                Came::Turned(Turned { status: 431, what: what.to_string() })
+            }
+            Err(Broken::Unreadable(what)) => Came::Turned(Turned { status: 400, what: what.to_string() }),
+            Err(Broken::Closed) => Came::Left,
+        }
+    };
+    future::or(whole, late).await
+}
+
+/// The way of one request: its body whole, understood, taken, answered. Says whether the connection goes on.
+async fn request(
+    house: &House,
+    seat: SeatId,
+    began: Nanos,
+    head: &RequestHead,
+    wire: &mut Wire,
+) -> Result<bool, Turned> {
+    let target = std::str::from_utf8(&head.target).unwrap_or_default();
+    let path = target.split_once('?').map_or(target, |(path, _)| path);
+    match (&head.method[..], path) {
+        (b"GET", "/healthz") if head.framing == Framing::Length(0) => {
+            let ready = reply::brief(200, "ready\n", house.leaving() || !head.keeps, None);
+            return Ok(written(wire, ready.as_bytes()).await);
+        }
+        (b"POST", CHAT) => {}
+        (_, CHAT | "/healthz") => return turned(405, "this method is not allowed here"),
+        _ => return turned(404, "there is nothing here"),
+    }
+    let late = async {
+        Timer::at(house.service().clock().instant(began + BODY_WITHIN)).await;
+        turned(408, "the body was not whole in time")
+    };
+    let (body, room) = future::or(body(house, seat, head, wire), late).await?;
+    serde_json::from_slice::<serde::de::IgnoredAny>(&body)
+        .or_else(|_| turned(400, "the body is not JSON"))?;
+
+    let field = |name: &str| head.fields.only(name);
+    let now = house.service().clock().now();
+    let new = sequence(field, house.service().names(), now).or_else(|what| turned(400, what))?;
+    let id = Rc::from(field("Req-Id").unwrap_or_default());
+    let message = Message { id, target: head.target.clone(), body, room };
+    match house.service().take(new, message) {
+        Ok(answer) => Ok(answered(house, head, wire, answer).await),
+        Err(Refused::IdInHand) => turned(409, "Req-Id is in hand already"),
+        Err(Refused::Full) => turned(503, "too many requests in hand"),
+    }
+}
+
+/// The whole body, within its size and what there is room for.
+async fn body(
+    house: &House,
+    seat: SeatId,
+    head: &RequestHead,
+    wire: &mut Wire,
+) -> Result<(Bytes, Reading), Turned> {
+    let shut = |shut: Shut| match shut {
+        Shut::TooLarge => Turned { status: 413, what: "the body is too large".to_owned() },
+        Shut::Full | Shut::AddressFull => Turned { status: 503, what: "too much in hand".to_owned() },
+    };
+    let mut room = house.reading(seat);
+    if let Framing::Length(told) = head.framing {
+        room.grow_to(usize::try_from(told).unwrap_or(usize::MAX)).map_err(shut)?;
+    }
+    if head.fields.lists("expect", "100-continue") {
+        let _ = wire.write(reply::CONTINUE).await;
+    }
+    let (mut body, mut data) = (Body::new(head.framing, LARGEST_BODY as u64), BytesMut::new());
+    loop {
+        match body.decode(&mut wire.buffer, &mut data) {
+            Ok(true) => return Ok((data.freeze(), room)),
+            Ok(false) => room.grow_to(data.len()).map_err(shut)?,
+            Err(what) => return turned(400, what.to_string()),
+        }
+        match wire.more().await {
+            Ok(()) => {}
+            Err(_) => return turned(400, "the body ended early"),
+        }
+    }
+}
+
+/// Writes an answer as it comes. Says whether the connection goes on.
+async fn answered(house: &House, head: &RequestHead, wire: &mut Wire, mut answer: Answer) -> bool {
+    let mut began = false;
+    loop {
+        let left = async {
+            wire.closed(AHEAD).await;
+            None
+        };
+        let next = async { Some(answer.next().await) };
+        let Some(next) = future::or(next, left).await else { return false };
+        let closes = house.leaving() || !head.keeps;
+        match next {
+            Next::Events(events) => {
+                let before = if began { String::new() } else { reply::stream(closes) };
+                began = true;
+                if !written(wire, &reply::chunk(before, &events)).await {
+                    return false;
+                }
+            }
+            Next::Whole => return written(wire, reply::LAST_CHUNK).await,
+            // Without the last chunk, so that nobody takes it for whole.
+            Next::Rejected { .. } | Next::Aborted if began => return false,
+            Next::Rejected { retry_after } => {
+                let told = reply::brief(503, "no room, trying again is harmless\n", closes, retry_after);
+                return written(wire, told.as_bytes()).await;
+            }
+            Next::Aborted => {
+                let told = reply::brief(502, "the attempts failed\n", closes, None);
+                return written(wire, told.as_bytes()).await;
+            }
+        }
+    }
+}
+
+/// Writes to a client; false where it is gone or takes nothing for too long.
+async fn written(wire: &Wire, bytes: &[u8]) -> bool {
+    let late = async {
+        Timer::after(stalled_for()).await;
+        false
+    };
+    future::or(async { wire.write(bytes).await.is_ok() }, late).await
+}
+
+async fn turn_away(wire: &Wire, turned: Turned) {
+    debug!(status = turned.status, what = turned.what, "turned away");
+    written(wire, reply::brief(turned.status, &turned.what, true, None).as_bytes()).await;
+}
--- /dev/null
+++ b/platform-terms/src/config.rs
@@ -0,0 +1,53 @@
+//! The file that a gateway of the platform starts from.
+
+use crate::Malformed;
+use crate::list::{Listed, listed};
+use crate::settings::{Names, at, flag, nanos, settings, word, wrong};
+use petrelshore::interface::{Deployment, Nanos};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory_bytes: usize,
+    pub descriptors: usize,
+    pub known: Listed,
+    pub deployment: Deployment,
+    pub names: Names,
+    /// A model server closes a connection that was idle for so long.
+    pub idle_for: Nanos,
+    /// Clients ask for the rest of a stream that broke.
+    pub clients_resume: bool,
+    /// The longest time for which a client waits for a first token.
+    pub longest_abandon: Nanos,
+}
+
+pub fn config(text: &str) -> Result<Config, Malformed> {
+    let json: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    let address = |field: &str| -> Result<SocketAddr, Malformed> {
+        word(&json, field)?.parse().map_err(|_| wrong(field, &json[field]))
+    };
+    let seed = u64::from_str_radix(word(&json, "seed")?, 16).map_err(|_| wrong("seed", &json["seed"]))?;
+    let s = at(&json, "settings")?;
+    let (deployment, names) = settings(s)?;
+    let lanes = s["lanes"].as_array().into_iter().flatten();
+    let longest = lanes.filter_map(|lane| lane["hardLimit"].as_u64()).max();
+    Ok(Config {
+        name: word(&json, "name")?.to_owned(),
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        seed,
+        memory_bytes: (nanos(&json, "limits.memory_mb")? as usize).saturating_mul(1 << 20),
+        descriptors: nanos(&json, "limits.sockets")? as usize,
+        known: listed(at(&json, "known")?, &names)?,
+        idle_for: nanos(s, "allowed.connIdle")?,
+        clients_resume: flag(s, "specifics.resume")?,
+        longest_abandon: longest.ok_or_else(|| wrong("lanes.hardLimit", &s["lanes"]))?,
+        deployment,
+        names,
+    })
+}
