After an answer that went wrong the prompt is read anew; a full house closes silent clients first

The writer that began had taken the state (brain.rs, schedule: the state was asked for whatever the last write's ending was).

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -4,8 +4,7 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use petrelshore::interface::Nanos;
-use petrelshore_conductor::leaving;
+use petrelshore_conductor::leaving::leaving;
 use petrelshore_front::entrance::bind;
 use petrelshore_gateway::Spawner;
 use petrelshore_platform::{Service, discovery};
@@ -51,7 +50,7 @@
     let descriptors = config.descriptors.saturating_sub(OWN);
     let clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
     let (name, memory, listen) = (config.name.clone(), config.memory_bytes, config.listen);
-    let end_after = leaving::end_streams_after(config.longest_abandon, config.clients_resume);
+    let leaving = leaving(config.longest_abandon, config.clients_resume);
     let service = Service::start(config, descriptors.saturating_sub(clients).max(1), Spawner::new(executor));
     executor.spawn(discovery::watch(service.clone())).detach();
     let house = House::new(service.clone(), clients, memory);
@@ -66,31 +65,23 @@
         executor.spawn(reload(service.clone())).detach();
     }
     info!(in_hand = service.in_hand(), "stopping: what is taken is answered");
-    house.leave();
-    Timer::after(Duration::from_nanos(leaving::STILL_COMING)).await;
+    Timer::after(Duration::from_nanos(leaving.serve_for)).await;
     drop(front);
-    house.close_idle();
-    let emptied = async {
-        service.until_empty().await;
-    };
+    house.leave();
     let late = async {
-        match end_after {
-            Some(after) => Timer::after(left(after)).await,
+        match leaving.end_streams_after {
+            Some(after) => Timer::after(Duration::from_nanos(after - leaving.serve_for)).await,
             None => future::pending().await,
         };
         info!(in_hand = service.in_hand(), "ending the streams that still run");
         service.end_all();
     };
-    future::or(emptied, late).await;
+    future::or(service.until_empty(), late).await;
     Timer::after(LAST_BYTES).await;
     info!(counts = ?service.counts(), "stopped");
     Ok(())
 }
 
-fn left(after: Nanos) -> Duration {
-    Duration::from_nanos(after.saturating_sub(leaving::STILL_COMING))
-}
-
 /// Takes discovery's address from the configuration as it is now. One that is not good changes nothing.
 async fn reload(service: Service) {
     for reading in 1..=READINGS {
--- a/conductor/src/lobby.rs
+++ b/conductor/src/lobby.rs
@@ -15,14 +15,16 @@
 const IDLE_FOR: Nanos = 15_000 * MILLISECOND;
 /// And not before this while its client may be about to ask.
 const IDLE_LEAST: Nanos = 2_000 * MILLISECOND;
-/// In a full house one that never said a thing goes after this: clients who ask do so as they connect.
+/// In a crowded house one that has not brought a whole request goes after this, in a full one after `FULL_LEAST`:
+/// clients who ask do so as they connect.
 const SILENT_LEAST: Nanos = 300 * MILLISECOND;
+const FULL_LEAST: Nanos = 15 * MILLISECOND;
 /// Part of the room from which on idle connections have to go for new ones.
 const CROWDED: f64 = 0.8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Seat {
-    /// Nothing was asked on it yet.
+    /// No whole request has come on it yet.
     New(Nanos),
     Idle(Nanos),
     Asking,
@@ -55,8 +57,11 @@
 
     /// A client has connected. In a crowded house somebody may have to leave for it.
     pub fn enter(&mut self, now: Nanos) -> (Entry, Option<SeatId>) {
-        let leaves =
-            if self.seats.len() as f64 >= self.most as f64 * CROWDED { self.dispensable(now) } else { None };
+        let leaves = match self.seats.len() {
+            held if held >= self.most => self.dispensable(now, FULL_LEAST),
+            held if held as f64 >= self.most as f64 * CROWDED => self.dispensable(now, SILENT_LEAST),
+            _ => None,
+        };
         if let Some(seat) = leaves {
             self.seats.remove(&seat);
         }
@@ -69,11 +74,12 @@
         (Entry::Seated(seat), leaves)
     }
 
-    /// A request has begun to come, or its answer is written and the connection waits for the next.
+    /// A whole request has come.
     pub fn asks(&mut self, seat: SeatId) {
         self.set(seat, Seat::Asking);
     }
 
+    /// Its answer is written, and the connection waits for the next.
     pub fn idles(&mut self, now: Nanos, seat: SeatId) {
         self.set(seat, Seat::Idle(now));
     }
@@ -111,12 +117,12 @@
     }
 
     /// Whom nobody will miss: silent ones first, then the one that was idle for longest.
-    fn dispensable(&self, now: Nanos) -> Option<SeatId> {
+    fn dispensable(&self, now: Nanos, silent_least: Nanos) -> Option<SeatId> {
         let by = |of: fn(&Seat) -> Option<Nanos>, least: Nanos| {
             let waits = self.seats.iter().filter_map(move |(id, seat)| Some((of(seat)?, *id)));
             waits.filter(|(since, _)| now.saturating_sub(*since) >= least).min().map(|(_, id)| id)
         };
-        let silent = by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, SILENT_LEAST);
+        let silent = by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, silent_least);
         silent
             .or_else(|| by(|seat| if let Seat::Idle(since) = seat { Some(*since) } else { None }, IDLE_LEAST))
     }
@@ -152,6 +158,11 @@
         assert_eq!(lobby.enter(9 * SECOND), (Entry::Full, None), "all ask");
         lobby.leave(seats[1]);
         assert_eq!(lobby.enter(9 * SECOND), (Entry::Seated(SeatId(7)), None));
-        assert_eq!((lobby.len(), lobby.idle()), (5, vec![SeatId(7)]));
+        assert_eq!(lobby.enter(9 * SECOND), (Entry::Full, None), "the silent one has only come");
+        let (entry, leaves) = lobby.enter(9 * SECOND + FULL_LEAST);
+        assert_eq!((entry, leaves), (Entry::Seated(SeatId(8)), Some(SeatId(7))));
+        lobby.leave(SeatId(8));
+        assert_eq!(lobby.enter(9 * SECOND), (Entry::Seated(SeatId(9)), None));
+        assert_eq!((lobby.len(), lobby.idle()), (5, vec![SeatId(9)]));
     }
 }
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -50,7 +50,6 @@
             true => opened.take().unwrap_or_else(|| clock.now()),
             false => return,
         };
-        house.lobby().borrow_mut().asks(seat);
         let head = match head(house, began, &mut wire).await {
             Came::Head(head) => head,
             Came::Turned(turned) => return turn_away(&wire, turned).await,
@@ -127,6 +126,7 @@
         turned(408, "the body was not whole in time")
     };
     let (body, room) = future::or(body(house, seat, head, wire), late).await?;
+    house.lobby().borrow_mut().asks(seat);
     serde_json::from_slice::<serde::de::IgnoredAny>(&body)
         .or_else(|_| turned(400, "the body is not JSON"))?;
 
--- a/platform-front/src/house.rs
+++ b/platform-front/src/house.rs
@@ -14,9 +14,12 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::debug;
 
 /// A client that is turned away at the door is told so within this.
 const AT_THE_DOOR: Duration = Duration::from_millis(500);
+/// Connections taken before others get their turn.
+const AT_A_TIME: usize = 8;
 /// Part of memory that bodies may take up before their first event.
 const BODIES: usize = 6;
 /// Largest body of a request.
@@ -50,8 +53,10 @@
     /// Takes connections for as long as it is polled.
     pub async fn take(self, listening: Listening) {
         loop {
-            let (stream, _) = listening.next().await;
-            self.enter(stream);
+            for _ in 0..AT_A_TIME {
+                let (stream, _) = listening.next().await;
+                self.enter(stream);
+            }
             // Guards against a flood of connections: those that are in get their turn.
             future::yield_now().await;
         }
@@ -64,6 +69,7 @@
             self.close(leaves);
         }
         let Entry::Seated(seat) = entry else {
+            debug!("no place for a new connection");
             return spawner.run(async move {
                 let told = async {
                     let mut stream = stream;
@@ -87,13 +93,9 @@
         }
     }
 
-    /// Says with every answer from now on that its connection ends.
+    /// Closes what has no open request, and says with every answer from now on that its connection ends.
     pub fn leave(&self) {
         self.0.leaving.set(true);
-    }
-
-    /// Closes what has no open request.
-    pub fn close_idle(&self) {
         let idle = self.0.lobby.borrow().idle();
         for seat in idle {
             self.0.lobby.borrow_mut().leave(seat);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,8 +245,10 @@
         if now + RECHECK >= seq.abandon_at || self.spent(seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking for a state that went with its reader; its clock runs on.
-        let state = seq.state.filter(|(reader, since)| {
+        // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong once
+        // begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
+        let wrong = seq.attempts.last().is_some_and(|a| a.status == Status::Closed(Outcome::Error));
+        let state = seq.state.filter(|_| !wrong).filter(|(reader, since)| {
             let reader = self.servers.get(reader).map(|s| &s.listing);
             reader.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
         });
