Tests of the platform's gateway on loopback, as a process; a full house waits a moment for room

Stand-ins now speak the platform's protocol, with 16 manners; `cli/tests/platform.rs` runs the sub-command before them: 22 malformed requests, clients that leave or pipeline, spoilt answers, SIGHUP with a half-written file, SIGTERM under load, bad configurations. Relay kind, module change, bounded connections and the engine have tests of their own.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -49,7 +49,7 @@
         bind(config.listen).await.map_err(|error| format!("listen: {}: {error}", config.listen))?;
     let descriptors = config.descriptors.saturating_sub(OWN);
     let clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
-    let (name, memory, listen) = (config.name.clone(), config.memory_bytes, config.listen);
+    let (name, memory, listen) = (config.name.clone(), config.memory_bytes, listening.address);
     let leaving = leaving(config.longest_abandon, config.clients_resume);
     let service = Service::start(config, descriptors.saturating_sub(clients).max(1), Spawner::new(executor));
     executor.spawn(discovery::watch(service.clone())).detach();
--- /dev/null
+++ b/cli/tests/platform.rs
@@ -0,0 +1,351 @@
+//! The `platform` sub-command as a process, before stand-ins in the platform's protocol.
+
+use petrelshore_stand_in::platform::{Agent, Manner, ModelServer, config, entry, events};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// For what must come at all; nothing here is judged by how fast it is.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct World {
+    gateway: Child,
+    at: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+    file: PathBuf,
+    reader: ModelServer,
+    writer: ModelServer,
+    agent: Agent,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.gateway.kill();
+        let _ = self.gateway.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn command(file: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_petrelshore"));
+    command.arg("platform").env("LB_CONFIG", file);
+    command.stderr(Stdio::piped());
+    command
+}
+
+fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("petrelshore-platform-{name}-{}.json", std::process::id()))
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl World {
+    fn start(name: &str) -> World {
+        let reader = ModelServer::start(true, Manner::Good).unwrap();
+        let writer = ModelServer::start(false, Manner::Good).unwrap();
+        let entries =
+            [entry("r", reader.address, "reader", "active"), entry("w", writer.address, "writer", "active")]
+                .join(",");
+        let agent = Agent::start(&entries).unwrap();
+        let file = file(name);
+        std::fs::write(&file, config(loopback(), agent.address, &entries)).unwrap();
+        let mut gateway = command(&file).spawn().unwrap();
+        let mut log = BufReader::new(gateway.stderr.take().unwrap());
+        let ready = until(&mut log, "ready");
+        let at =
+            ready.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap().parse().unwrap();
+        World { gateway, at, log, file, reader, writer, agent }
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.gateway.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends bytes on a new connection; all that comes back until it is closed.
+    fn told(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
+        let _ = stream.write_all(bytes);
+        let mut told = Vec::new();
+        let _ = stream.read_to_end(&mut told);
+        String::from_utf8_lossy(&told).into_owned()
+    }
+
+    /// Waits until something holds.
+    fn wait_for(&self, what: &str, holds: impl Fn() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds() {
+            assert!(Instant::now() < until, "{what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+/// Reads the log up to a line with these words.
+fn until(log: &mut impl BufRead, words: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the log ended before '{words}'");
+        if line.contains(words) {
+            return line;
+        }
+    }
+}
+
+const EXTRA: &str = "prompt_len=100,prefix_len=0,max_out=50";
+
+fn asks(id: u64, more: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nReq-Id: {id:016x}\r\nReq-Kind: chat\r\n\
+         Req-Key: 00000000000000bb\r\nReq-Deadline-Ms: 4000\r\nReq-Extra: {EXTRA}\r\n{more}Content-Length: 2\r\n\r\n{{}}"
+    )
+}
+
+/// The next answer on a connection: its status line, its body without its framing, and whether that was whole.
+fn answer(lines: &mut impl BufRead) -> (String, String, bool) {
+    let (mut status, mut length, mut body) = (String::new(), None, String::new());
+    lines.read_line(&mut status).unwrap();
+    loop {
+        let mut line = String::new();
+        if lines.read_line(&mut line).unwrap() <= 2 {
+            break;
+        }
+        if let Some(told) = line.strip_prefix("Content-Length: ") {
+            length = told.trim().parse().ok();
+        }
+    }
+    if let Some(length) = length {
+        let mut bytes = vec![0; length];
+        lines.read_exact(&mut bytes).unwrap();
+        return (status, String::from_utf8(bytes).unwrap(), true);
+    }
+    loop {
+        let mut line = String::new();
+        if lines.read_line(&mut line).unwrap_or(0) == 0 {
+            return (status, body, false);
+        }
+        let size = usize::from_str_radix(line.trim(), 16).unwrap();
+        let mut bytes = vec![0; size + 2];
+        lines.read_exact(&mut bytes).unwrap();
+        if size == 0 {
+            return (status, body, true);
+        }
+        body.push_str(std::str::from_utf8(&bytes[..size]).unwrap());
+    }
+}
+
+#[test]
+fn requests_in_a_row_and_pipelined_ones_get_the_writers_own_events() {
+    let world = World::start("row");
+    let mut stream = world.connect();
+    let mut lines = BufReader::new(stream.try_clone().unwrap());
+    for id in 0..10 {
+        stream.write_all(asks(id, "").as_bytes()).unwrap();
+        assert_eq!(answer(&mut lines), ("HTTP/1.1 200 OK\r\n".to_owned(), events(), true));
+    }
+    stream.write_all((asks(10, "") + &asks(11, "")).as_bytes()).unwrap();
+    assert!(answer(&mut lines).2 && answer(&mut lines).2);
+    let path = "POST /v1/chat/completions";
+    let seen: Vec<String> = (0..12).map(|id| format!("{path} {id:016x}")).collect();
+    assert_eq!((world.reader.seen(), world.writer.seen()), (seen.clone(), seen));
+    assert_eq!(
+        world.told(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").split(' ').nth(1),
+        Some("200")
+    );
+}
+
+#[test]
+fn what_is_malformed_is_turned_away_and_never_reaches_a_model_server() {
+    let world = World::start("malformed");
+    let good = asks(1, "");
+    let without = |from: &str, to: &str| good.replace(from, to).into_bytes();
+    let concealed = "0\r\n\r\n".to_owned() + &asks(2, "");
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("noise", b"\0\x01\x02\r\n\r\n".to_vec()),
+        (
+            "endless head",
+            [good.as_bytes(), &vec![b'x'; 100_000]].concat()[..60]
+                .iter()
+                .copied()
+                .chain(vec![b'x'; 100_000])
+                .collect(),
+        ),
+        (
+            "both framings",
+            without(
+                "Content-Length: 2\r\n\r\n{}",
+                &format!(
+                    "Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{concealed}",
+                    concealed.len()
+                ),
+            ),
+        ),
+        ("negative length", without("Content-Length: 2", "Content-Length: -2")),
+        ("huge length", without("Content-Length: 2", "Content-Length: 62914560")),
+        ("length past all", without("Content-Length: 2", "Content-Length: 99999999999999999999")),
+        ("two lengths", without("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 2")),
+        ("bad chunk", without("Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n{}")),
+        ("not JSON", without("{}", "{]")),
+        ("unknown class", without("Req-Kind: chat", "Req-Kind: gossip")),
+        ("no id", without("Req-Id", "Other")),
+        ("bad id", without("Req-Id: 0000000000000001", "Req-Id: 1")),
+        ("two ids", without("Req-Kind", "Req-Id: 0000000000000001\r\nReq-Kind")),
+        ("no deadline", without("Req-Deadline-Ms", "Other")),
+        ("word as deadline", without("Ms: 4000", "Ms: soon")),
+        ("negative deadline", without("Ms: 4000", "Ms: -1")),
+        ("deadline of none", without("Ms: 4000", "Ms: 0")),
+        ("huge deadline", without("Ms: 4000", "Ms: 99999999999999999999999")),
+        ("no lengths", without(EXTRA, "prompt_len=much,max_out=50")),
+        ("negative lengths", without(EXTRA, "prompt_len=-5,max_out=50")),
+        ("other path", without("/v1/chat/completions", "/v1/other")),
+        ("other method", without("POST", "PUT")),
+    ];
+    for (what, bytes) in cases {
+        let told = world.told(&bytes);
+        assert!(told.starts_with("HTTP/1.1 4") || told.is_empty(), "{what}: {told}");
+    }
+    // These end by time: all at once, so that the test does not add the times up.
+    let mut slow: Vec<TcpStream> = ["", "POST /v1/chat", &good[..good.len() - 1]]
+        .map(|part| {
+            let mut stream = world.connect();
+            stream.write_all(part.as_bytes()).unwrap();
+            stream
+        })
+        .into();
+    for stream in &mut slow {
+        let mut told = String::new();
+        let _ = stream.read_to_string(&mut told);
+        assert!(told.starts_with("HTTP/1.1 408") || told.is_empty(), "{told}");
+    }
+    assert_eq!((world.reader.seen(), world.writer.seen()), (vec![], vec![]));
+    assert!(world.told(asks(3, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn an_id_in_hand_is_not_taken_for_another_client() {
+    let world = World::start("id");
+    world.reader.set(Manner::Slow);
+    let mut first = world.connect();
+    first.write_all(asks(1, "").as_bytes()).unwrap();
+    world.wait_for("the read begins", || !world.reader.seen().is_empty());
+    assert!(world.told(asks(1, "").as_bytes()).starts_with("HTTP/1.1 409"));
+    assert!(answer(&mut BufReader::new(first)).2, "the first goes on");
+}
+
+#[test]
+fn where_a_client_leaves_its_attempt_ends_and_what_it_left_is_let_go() {
+    let world = World::start("leaves");
+    world.reader.set(Manner::Silent);
+    let mut stream = world.connect();
+    stream.write_all(asks(1, "").as_bytes()).unwrap();
+    world.wait_for("the read begins", || !world.reader.seen().is_empty());
+    drop(stream);
+    let release = "DELETE /kv/leases/0000000000000001 ".to_owned();
+    world.wait_for("it is let go", || world.reader.seen().contains(&release));
+    assert!(world.writer.seen().is_empty());
+}
+
+#[test]
+fn spoilt_answers_are_tried_again_before_the_first_event_and_break_the_stream_after_it() {
+    let world = World::start("spoilt");
+    let ask = |id: u64| {
+        let mut stream = world.connect();
+        stream.write_all(asks(id, "").as_bytes()).unwrap();
+        answer(&mut BufReader::new(stream))
+    };
+    for (id, manner) in
+        [Manner::Noise, Manner::EndlessHead, Manner::Fails, Manner::Resets].into_iter().enumerate()
+    {
+        world.writer.set(manner);
+        let (status, _, _) = ask(id as u64);
+        assert_eq!(status.split(' ').nth(1), Some("503"), "{manner:?}: repeatable work is rejected, at once");
+        world.writer.set(Manner::Good);
+        assert!(ask(1000 + id as u64).0.contains("200"), "{manner:?}: the next is served");
+    }
+    for (id, manner) in [Manner::BadChunk, Manner::HugeChunk, Manner::NoiseInStream, Manner::SilentInStream]
+        .into_iter()
+        .enumerate()
+    {
+        world.writer.set(manner);
+        let (status, body, whole) = ask(100 + id as u64);
+        assert_eq!((status.contains("200"), whole), (true, false), "{manner:?}");
+        assert!(events().starts_with(&body), "{manner:?}: {body}");
+    }
+    world.writer.set(Manner::SecondAnswer);
+    assert_eq!(ask(200), ("HTTP/1.1 200 OK\r\n".to_owned(), events(), true));
+}
+
+#[test]
+fn a_bad_configuration_changes_nothing_and_a_good_one_moves_discovery_at_once() {
+    let mut world = World::start("reload");
+    let text = std::fs::read_to_string(&world.file).unwrap();
+    world.wait_for("discovery is asked", || world.agent.asked() > 0);
+    std::fs::write(&world.file, &text[..text.len() / 2]).unwrap();
+    world.signal("-HUP");
+    let why = until(&mut world.log, "the configuration is not good");
+    assert!(why.contains("EOF"), "{why}");
+    let entries = [
+        entry("r", world.reader.address, "reader", "active"),
+        entry("v", world.writer.address, "writer", "active"),
+    ];
+    let moved = Agent::start(&entries.join(",")).unwrap();
+    std::fs::write(&world.file, text.replace(&world.agent.address.to_string(), &moved.address.to_string()))
+        .unwrap();
+    world.signal("-HUP");
+    world.wait_for("the new address is asked", || moved.asked() > 0);
+    assert!(world.told(asks(1, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn told_to_stop_it_answers_what_it_has_and_still_takes_what_comes_and_exits_with_0() {
+    let mut world = World::start("stop");
+    world.writer.set(Manner::Slow);
+    let mut kept = world.connect();
+    let mut lines = BufReader::new(kept.try_clone().unwrap());
+    kept.write_all(asks(1, "").as_bytes()).unwrap();
+    world.wait_for("it is taken", || !world.reader.seen().is_empty());
+    world.signal("-TERM");
+    until(&mut world.log, "stopping");
+    assert!(world.told(asks(2, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
+    assert!(answer(&mut lines).2);
+    kept.write_all(asks(3, "").as_bytes()).unwrap();
+    assert!(answer(&mut lines).2, "an open connection is used for as long as it is open");
+    // One that would run past the kill is ended without its last chunk, for its client to ask for the rest.
+    world.writer.set(Manner::SilentInStream);
+    kept.write_all(asks(4, "").as_bytes()).unwrap();
+    let (status, _, whole) = answer(&mut lines);
+    assert_eq!((status.contains("200"), whole), (true, false));
+    assert_eq!(world.gateway.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_at_the_start_is_one_line_with_file_and_field() {
+    let file = file("bad");
+    let good = config(loopback(), loopback(), "");
+    let cases = [
+        (good.replace("\"seed\":\"8c1f30d27a5be964\",", ""), "seed is missing"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":7"), "listen is malformed"),
+        (good.replace("\"maxAttempts\":4,", ""), "allowed.maxAttempts is missing"),
+        (good.replace("\"coldFrom\":0.3", "\"coldFrom\":\"x\""), "rules.coldFrom is malformed"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"203.0.113.1:9\""), "listen: 203.0.113.1:9"),
+        (good.replace('}', ""), "expected"),
+    ];
+    for (text, field) in cases {
+        std::fs::write(&file, text).unwrap();
+        let ended = command(&file).output().unwrap();
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert_eq!((ended.status.code(), said.lines().count()), (Some(1), 1), "{said}");
+        assert!(said.contains(field), "{field}: {said}");
+    }
+    let _ = std::fs::remove_file(&file);
+}
--- a/conductor/src/lobby.rs
+++ b/conductor/src/lobby.rs
@@ -18,7 +18,7 @@
 /// In a crowded house one that has not brought a whole request goes after this, in a full one after `FULL_LEAST`:
 /// clients who ask do so as they connect.
 const SILENT_LEAST: Nanos = 300 * MILLISECOND;
-const FULL_LEAST: Nanos = 15 * MILLISECOND;
+pub const FULL_LEAST: Nanos = 3 * MILLISECOND;
 /// Part of the room from which on idle connections have to go for new ones.
 const CROWDED: f64 = 0.8;
 
--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use tracing::debug;
 
+/// Connections that may wait to be taken.
+const WAITING: i32 = 1024;
 /// After a failed accept, as when file handles run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Past the conductor's own bound for a client that takes nothing, its socket is closed.
@@ -24,6 +26,8 @@
 
 pub async fn bind(address: SocketAddr) -> std::io::Result<Listening> {
     let listener = TcpListener::bind(address).await?;
+    // Bound anew with a longer queue: where it overflows, clients wait a second for their next try.
+    rustix::net::listen(&listener, WAITING)?;
     let address = listener.local_addr()?;
     Ok(Listening { listener, address })
 }
--- /dev/null
+++ b/platform-engine/tests/manners.rs
@@ -0,0 +1,130 @@
+//! What an exchange tells of model servers that behave badly, on loopback.
+
+use bytes::Bytes;
+use futures_lite::future;
+use petrelshore_conductor::proof::Ending;
+use petrelshore_gateway::Clock;
+use petrelshore_platform_engine::{Call, Client};
+use petrelshore_stand_in::platform::{Manner, ModelServer, events};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn client(most: usize) -> Client {
+    Client::new(Clock::start(), most, 15_000_000_000, vec!["x0".to_owned()])
+}
+
+fn call(to: SocketAddr) -> Call {
+    Call {
+        to,
+        target: Bytes::from("/v1/chat/completions?a=b"),
+        id: "00000000000000aa".into(),
+        body: Bytes::from("{}"),
+        limit: 5_000_000_000,
+        connect_within: Duration::from_secs(5),
+        fresh: false,
+    }
+}
+
+/// All events of a write, and how it ended; patience is for tests that would hang.
+async fn written(client: &Client, to: SocketAddr) -> (String, Result<(), Ending>) {
+    let mut passed = String::new();
+    let ended = async {
+        let mut stream = client.write(&call(to)).await.result?;
+        while let Some(events) = stream.next().await? {
+            passed.push_str(std::str::from_utf8(&events).unwrap());
+        }
+        Ok(())
+    };
+    let late = async {
+        async_io::Timer::after(PATIENCE).await;
+        panic!("still no end")
+    };
+    let ended = future::or(ended, late).await;
+    (passed, ended)
+}
+
+#[test]
+fn a_good_stream_passes_unchanged_and_its_connection_serves_again() {
+    let server = ModelServer::start(false, Manner::Good).unwrap();
+    let client = client(4);
+    async_io::block_on(async {
+        for _ in 0..3 {
+            assert_eq!(written(&client, server.address).await, (events(), Ok(())));
+        }
+    });
+    assert_eq!((server.connections(), client.open()), (1, (1, 1)));
+    assert_eq!(server.seen()[2], "POST /v1/chat/completions?a=b 00000000000000aa");
+}
+
+#[test]
+fn a_read_tells_what_was_kept_and_the_load() {
+    let server = ModelServer::start(true, Manner::Interim).unwrap();
+    let client = client(4);
+    let heard = async_io::block_on(client.read(&call(server.address)));
+    assert_eq!((heard.result, heard.load.is_none()), (Ok(4.0), true), "an unreadable load is none");
+    server.set(Manner::Good);
+    let heard = async_io::block_on(client.read(&call(server.address)));
+    assert_eq!((heard.result, heard.load.unwrap().memory_share), (Ok(4.0), Some(0.25)));
+}
+
+#[test]
+fn only_what_the_protocol_names_proves_that_nothing_ran() {
+    let server = ModelServer::start(false, Manner::Good).unwrap();
+    let client = client(4);
+    let cases = [
+        (Manner::Declines, Ending::RefusedFull),
+        (Manner::StateGone, Ending::StateMissing),
+        (Manner::Overloaded, Ending::Refused { status: 503 }),
+        (Manner::Fails, Ending::Refused { status: 500 }),
+        (Manner::Resets, Ending::Reset),
+        (Manner::Noise, Ending::Malformed),
+        (Manner::EndlessHead, Ending::Malformed),
+    ];
+    for (manner, ending) in cases {
+        server.set(manner);
+        let told = async_io::block_on(written(&client, server.address));
+        assert_eq!(told, (String::new(), Err(ending)), "{manner:?}");
+    }
+    let closed = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap();
+    let told = async_io::block_on(written(&client, closed));
+    assert_eq!(told, (String::new(), Err(Ending::NotConnected)));
+}
+
+#[test]
+fn a_stream_that_is_spoilt_later_passes_only_whole_events_and_its_connection_is_not_used_again() {
+    let server = ModelServer::start(false, Manner::Good).unwrap();
+    let client = client(4);
+    for manner in [Manner::BadChunk, Manner::HugeChunk, Manner::NoiseInStream] {
+        server.set(manner);
+        let (passed, ended) = async_io::block_on(written(&client, server.address));
+        assert_eq!(ended, Err(Ending::Malformed), "{manner:?}");
+        assert!(events().starts_with(&passed), "{manner:?}: {passed}");
+        assert_eq!(client.open().0, 0, "{manner:?}");
+    }
+}
+
+#[test]
+fn a_connection_with_more_on_it_than_was_asked_for_is_not_used_again() {
+    let server = ModelServer::start(false, Manner::SecondAnswer).unwrap();
+    let client = client(4);
+    for _ in 0..2 {
+        assert_eq!(async_io::block_on(written(&client, server.address)), (events(), Ok(())));
+        // What came late would be seen before the next use, too.
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(server.connections(), 2);
+}
+
+#[test]
+fn where_all_places_are_taken_the_longest_idle_connection_makes_room() {
+    let servers = [Manner::Good; 3].map(|manner| ModelServer::start(false, manner).unwrap());
+    let client = client(2);
+    for server in &servers {
+        assert_eq!(async_io::block_on(written(&client, server.address)).1, Ok(()));
+    }
+    assert_eq!(client.open(), (2, 2));
+    assert_eq!(async_io::block_on(client.release(servers[0].address, "00000000000000aa", PATIENCE)), Ok(()));
+    assert_eq!(servers[0].seen()[1], "DELETE /kv/leases/00000000000000aa ");
+}
--- a/platform-front/src/house.rs
+++ b/platform-front/src/house.rs
@@ -3,10 +3,11 @@
 use crate::connection::serve;
 use crate::reply;
 use async_executor::Task;
+use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncWriteExt, future};
 use petrelshore_conductor::doors::Doors;
-use petrelshore_conductor::lobby::{Entry, Lobby, SeatId};
+use petrelshore_conductor::lobby::{Entry, FULL_LEAST, Lobby, SeatId};
 use petrelshore_framing::wire::Wire;
 use petrelshore_front::entrance::{Listening, Reading};
 use petrelshore_platform::Service;
@@ -55,18 +56,20 @@
         loop {
             for _ in 0..AT_A_TIME {
                 let (stream, _) = listening.next().await;
-                self.enter(stream);
+                self.enter(stream).await;
             }
             // Guards against a flood of connections: those that are in get their turn.
             future::yield_now().await;
         }
     }
 
-    fn enter(&self, stream: TcpStream) {
+    async fn enter(&self, stream: TcpStream) {
         let spawner = self.0.service.spawner().clone();
-        let (entry, leaves) = self.0.lobby.borrow_mut().enter(self.0.service.clock().now());
-        if let Some(leaves) = leaves {
-            self.close(leaves);
+        let mut entry = self.ask_in();
+        if entry == Entry::Full {
+            // In a moment it shows who of those that just came has something to ask.
+            Timer::after(Duration::from_nanos(FULL_LEAST)).await;
+            entry = self.ask_in();
         }
         let Entry::Seated(seat) = entry else {
             debug!("no place for a new connection");
@@ -76,7 +79,7 @@
                     let _ = stream.write_all(reply::full().as_bytes()).await;
                 };
                 let late = async {
-                    async_io::Timer::after(AT_THE_DOOR).await;
+                    Timer::after(AT_THE_DOOR).await;
                 };
                 future::or(told, late).await;
             });
@@ -93,6 +96,13 @@
         }
     }
 
+    /// Asks for a place, and closes whom that takes it from.
+    fn ask_in(&self) -> Entry {
+        let (entry, leaves) = self.0.lobby.borrow_mut().enter(self.0.service.clock().now());
+        leaves.into_iter().for_each(|leaves| self.close(leaves));
+        entry
+    }
+
     /// Closes what has no open request, and says with every answer from now on that its connection ends.
     pub fn leave(&self) {
         self.0.leaving.set(true);
--- a/stand-in/src/lib.rs
+++ b/stand-in/src/lib.rs
@@ -4,5 +4,6 @@
 //! puts it on a socket and writes down what passed there.
 
 pub mod model;
+pub mod platform;
 pub mod record;
 pub mod server;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -375,3 +375,32 @@
     let cleared = (20..60).filter(|id| take(START + id * 500 * MS, *id, 50 * MS)).count();
     assert!(jammed < 10 && cleared > 20, "{jammed} {cleared}");
 }
+
+#[test]
+fn after_an_answer_that_went_wrong_the_prompt_is_read_anew_and_the_state_is_still_let_go_in_time() {
+    let mut brain = brain(deployment(), &fleet());
+    let mut seq = sequence(1, 0, START);
+    read(&mut brain, START, &mut seq, 50 * MS);
+    let now = START + 100 * MS;
+    sent(brain.schedule(now, &mut seq));
+    close(&mut brain, now, &mut seq, Outcome::Error);
+    let reader = sent(brain.schedule(now, &mut seq));
+    assert_eq!((seq.attempts.last().map(|a| a.step), reader.0 % 3), (Some(Step::Read), 0));
+    close(&mut brain, now + 50 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+    sent(brain.schedule(now + 50 * MS, &mut seq));
+    assert_eq!(seq.attempts.last().map(|a| a.step), Some(Step::Write), "it had attempts left for both");
+
+    // Where no reader can be had, what the first may still hold is let go within its time.
+    let mut seq = sequence(2, 0, now);
+    read(&mut brain, now, &mut seq, 50 * MS);
+    sent(brain.schedule(now + 50 * MS, &mut seq));
+    close(&mut brain, now + 60 * MS, &mut seq, Outcome::Error);
+    let gone = |id| Listing { condition: Condition::Draining, ..entry(id, 0, (id / 3) as i64) };
+    brain.listed(now + 60 * MS, ListScope::Changes, &[gone(0), gone(3)]);
+    let release = (0..15).find_map(|n| match brain.schedule(now + 60 * MS + n * 20 * MS, &mut seq) {
+        Schedule::NotYet => None,
+        Schedule::Rejected { release, .. } => Some(release),
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(release, Some(true));
+}
