A reset pauses its server shortly, and the prompt is read anew after it

At fault: brain.rs, learn, where a reset paused its server for 2 s at each gateway, 8% of the readers' time; and schedule, which asked for the state again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -247,7 +247,8 @@
         }
         // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong once
         // begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
-        let wrong = seq.attempts.last().is_some_and(|a| a.status == Status::Closed(Outcome::Error));
+        let wrong = |a: &Attempt| matches!(a.status, Status::Closed(Outcome::Error | Outcome::Reset));
+        let wrong = seq.attempts.last().is_some_and(wrong);
         let state = seq.state.filter(|_| !wrong).filter(|(reader, since)| {
             let reader = self.servers.get(reader).map(|s| &s.listing);
             reader.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
@@ -786,7 +787,9 @@
             // A server that is full says so at once; one that takes its time means this kind of traffic.
             Full if rtt < REPORT_LAG => (server.heard, server.paused_until) = (now, now + REPORT_LAG),
             Generated | Full | NoState | Error => server.heard = now,
-            Reset | ConnectFailed => server.paused_until = now + SHUN,
+            // One connection that breaks may be all that broke; nobody there shows at the next one.
+            Reset => server.paused_until = server.paused_until.max(now + REPORT_LAG),
+            ConnectFailed => server.paused_until = now + SHUN,
             TimedOut if attempt.step != Step::Move => server.times.add(now, rtt as f64),
             TimedOut | Cancelled | NeverSent => {}
         }
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -3,7 +3,7 @@
 //! Plain threads and plain text, so that they can write what no library would.
 
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -404,3 +404,20 @@
     });
     assert_eq!(release, Some(true));
 }
+
+#[test]
+fn one_connection_that_breaks_pauses_its_server_shortly_and_one_that_is_refused_for_longer() {
+    for (outcome, paused) in [(Outcome::Reset, false), (Outcome::ConnectFailed, true)] {
+        let mut brain = brain(deployment(), &fleet()[..3]);
+        let mut seq = sequence(1, 0, START);
+        read(&mut brain, START, &mut seq, 50 * MS);
+        let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
+        close(&mut brain, START + 60 * MS, &mut seq, outcome);
+        let now = START + 500 * MS;
+        let mut next = sequence(2, 0, now);
+        read(&mut brain, now, &mut next, 50 * MS);
+        let other = ServerId(3 - writer.0);
+        brain.reported(now, other, Report { memory_share: Some(0.5), ..Report::default() });
+        assert_eq!(sent(brain.schedule(now + 50 * MS, &mut next)) == other, paused, "{outcome:?}");
+    }
+}
