An answer about health closes its connection, so that a crowd that asks and stays leaves room

Checked: silent ones were closed after 3 ms, so the seats were idle ones, which are kept for 2 s; sequences did not account for them, so they had asked GET /healthz and stayed. That answer now closes (connection.rs, request).

--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -349,3 +349,24 @@
     }
     let _ = std::fs::remove_file(&file);
 }
+
+#[test]
+fn hundreds_that_ask_for_health_or_say_nothing_and_stay_leave_room_for_those_who_ask() {
+    let world = World::start("crowd");
+    let crowd: Vec<TcpStream> = (0..400)
+        .map(|n| {
+            let mut stream = world.connect();
+            if n % 2 == 0 {
+                stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+            }
+            stream
+        })
+        .collect();
+    let mut kept = world.connect();
+    let mut lines = BufReader::new(kept.try_clone().unwrap());
+    for id in 0..5 {
+        kept.write_all(asks(id, "").as_bytes()).unwrap();
+        assert!(answer(&mut lines).2, "request {id}");
+    }
+    drop(crowd);
+}
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -114,8 +114,9 @@
     let path = target.split_once('?').map_or(target, |(path, _)| path);
     match (&head.method[..], path) {
         (b"GET", "/healthz") if head.framing == Framing::Length(0) => {
-            let ready = reply::brief(200, "ready\n", house.leaving() || !head.keeps, None);
-            return Ok(written(wire, ready.as_bytes()).await);
+            // Closed at once: those who ask this by the hundreds and stay would leave no place for the others.
+            written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
+            return Ok(false);
         }
         (b"POST", CHAT) => {}
         (_, CHAT | "/healthz") => return turned(405, "this method is not allowed here"),
--- a/platform-front/src/house.rs
+++ b/platform-front/src/house.rs
@@ -66,8 +66,7 @@
     async fn enter(&self, stream: TcpStream) {
         let spawner = self.0.service.spawner().clone();
         let mut entry = self.ask_in();
-        if entry == Entry::Full {
-            // In a moment it shows who of those that just came has something to ask.
+        if entry == Entry::Soon {
             Timer::after(Duration::from_nanos(FULL_LEAST)).await;
             entry = self.ask_in();
         }
