Told to stop, a gateway moves its streams while the next one still takes them up

At fault: leaving.rs, which left 0.4 s before the kill only. Streams now end 1.1 s before it while new ones are still taken, what is left 0.4 s before. What is left: 1.7 s in which no gateway is admitted.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -4,6 +4,7 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
+use petrelshore::interface::Nanos;
 use petrelshore_conductor::leaving::leaving;
 use petrelshore_front::entrance::bind;
 use petrelshore_gateway::Spawner;
@@ -65,15 +66,22 @@
         executor.spawn(reload(service.clone())).detach();
     }
     info!(in_hand = service.in_hand(), "stopping: what is taken is answered");
-    Timer::after(Duration::from_nanos(leaving.serve_for)).await;
+    let told = service.clock().now();
+    let at = |after: Nanos| Timer::at(service.clock().instant(told + after));
+    if let Some(after) = leaving.move_streams_at {
+        at(after).await;
+        info!(in_hand = service.in_hand(), "moving the streams that run");
+        service.end_streams();
+    }
+    at(leaving.serve_until).await;
     drop(front);
     house.leave();
     let late = async {
-        match leaving.end_streams_after {
-            Some(after) => Timer::after(Duration::from_nanos(after - leaving.serve_for)).await,
+        match leaving.end_all_at {
+            Some(after) => at(after).await,
             None => future::pending().await,
         };
-        info!(in_hand = service.in_hand(), "ending the streams that still run");
+        info!(in_hand = service.in_hand(), "ending what is left");
         service.end_all();
     };
     future::or(service.until_empty(), late).await;
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -350,6 +350,17 @@
         self.draining = true;
     }
 
+    /// Ends every stream that runs, for its client to ask for the rest elsewhere. What has not begun goes on.
+    pub fn finish_streams(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let runs = |held: &Held| held.seq.attempts.last().is_some_and(|a| a.status == Status::Streaming);
+        let mut ids: Vec<SeqId> =
+            self.held.iter().filter(|(_, held)| runs(held)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.finish(now, id, Reason::Draining, out);
+        }
+    }
+
     /// The time to drain is over: whatever is in hand gets its final answer now.
     pub fn finish_all(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.draining = true;
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -53,7 +53,15 @@
 /// A sequence whose first event has come.
 fn streaming(conductor: &mut Conductor, relay: Relay) -> SeqId {
     let (id, mut out) = (SeqId(5), Vec::new());
-    let new = NewSequence {
+    conductor.take(START, sequence(id, relay), &mut out);
+    conductor.ended(START + 10 * MS, id, 0, Ending::ReadDone { kept: 0.0 }, &mut out);
+    assert!(matches!(out[..], [Action::Send(_), Action::Send(_)]), "{out:?}");
+    conductor.began(START + 20 * MS, id, 1);
+    id
+}
+
+fn sequence(id: SeqId, relay: Relay) -> NewSequence {
+    NewSequence {
         id,
         traffic: TypeId(0),
         tenant: None,
@@ -67,12 +75,7 @@
         relay,
         abandon_at: START + 5 * S,
         whole_by: None,
-    };
-    conductor.take(START, new, &mut out);
-    conductor.ended(START + 10 * MS, id, 0, Ending::ReadDone { kept: 0.0 }, &mut out);
-    assert!(matches!(out[..], [Action::Send(_), Action::Send(_)]), "{out:?}");
-    conductor.began(START + 20 * MS, id, 1);
-    id
+    }
 }
 
 #[test]
@@ -117,6 +120,18 @@
     assert_eq!((out.contains(&over), conductor.in_hand()), (true, 0));
 }
 
+#[test]
+fn streams_that_are_moved_leave_what_has_not_begun_in_hand() {
+    let (mut conductor, mut out) = (conductor(), Vec::new());
+    let id = streaming(&mut conductor, Relay::Passed);
+    let waits = SeqId(6);
+    conductor.take(START + 30 * MS, sequence(waits, Relay::Passed), &mut out);
+    out.clear();
+    conductor.finish_streams(START + S, &mut out);
+    let over = Action::Over { id, outcome: Outcome::Cancelled, reason: Some(Reason::Draining) };
+    assert_eq!((out.contains(&over), conductor.in_hand(), conductor.holds(waits)), (true, 1, true));
+}
+
 #[test]
 fn idle_connections_are_given_up_before_their_servers_do_and_the_longest_idle_makes_room() {
     let mut idle: Connections<u8, u32> = Connections::bounded(5 * S, 3);
