--- a/conductor/src/connections.rs
+++ b/conductor/src/connections.rs
@@ -3,6 +3,7 @@
 //! A pooled connection saves a round trip and risks that the server closes it just as a request goes out, which
 //! proves nothing about that request. So connections are kept shortly, fewest where a server closes many under us.
 
+use petrelshore::decay::DecayingSum;
 use petrelshore::interface::Nanos;
 use std::collections::BTreeMap;
 
@@ -20,6 +21,14 @@
 /// Each exchange that ends well lets idle connections be trusted for a little longer again.
 const TRUST_BACK: f64 = 1.05;
 
+/// Half-life of what is known of used connections, at all servers together.
+const REUSE_LIFE: Nanos = 10_000_000_000;
+/// Past this share of them that broke under their request, each request gets a new one: a handshake costs little, and
+/// a lost attempt is one of few. Guards against servers, or what stands before them, that drop kept connections.
+const BREAKS: f64 = 0.1;
+/// And only once more than one has broken of late.
+const EVIDENCE: f64 = 1.5;
+
 /// Idle connections to one server, the one used last at the end.
 struct Idle<C> {
     kept: Vec<(C, Nanos)>,
@@ -32,6 +41,9 @@
     all: usize,
     idle_for: Nanos,
     idle_all: usize,
+    /// Answers on used connections, and used connections that broke.
+    held: DecayingSum,
+    broken: DecayingSum,
 }
 
 impl<S: Ord + Copy, C> Default for Connections<S, C> {
@@ -44,7 +56,14 @@
     /// Where servers tell for how long they keep an idle connection, and descriptors are few.
     pub fn bounded(idle_for: Nanos, idle_all: usize) -> Self {
         let idle_for = idle_for.saturating_sub(CLOSED_AHEAD).clamp(IDLE_LEAST, IDLE_FOR);
-        Connections { servers: BTreeMap::new(), all: 0, idle_for, idle_all }
+        Connections {
+            servers: BTreeMap::new(),
+            all: 0,
+            idle_for,
+            idle_all,
+            held: DecayingSum::new(REUSE_LIFE),
+            broken: DecayingSum::new(REUSE_LIFE),
+        }
     }
 
     /// Drops the connection that was idle for longest; false where none is.
@@ -60,6 +79,9 @@
     /// The connection to use for an exchange, with how long it was idle. Ones that are closed (`open` tells) or were
     /// idle for too long are dropped on the way. The one used last goes first, so that the others can run out.
     pub fn take(&mut self, now: Nanos, server: S, open: impl Fn(&C) -> bool) -> Option<(C, Nanos)> {
+        if self.breaks(now) {
+            return None;
+        }
         let idle = self.servers.get_mut(&server)?;
         while let Some((connection, since)) = idle.kept.pop() {
             self.all -= 1;
@@ -71,8 +93,16 @@
         None
     }
 
+    /// An answer has come on a connection that was used before.
+    pub fn held(&mut self, now: Nanos) {
+        self.held.add(now, 1.0);
+    }
+
     /// An exchange has ended well: its connection may serve another.
     pub fn keep(&mut self, now: Nanos, server: S, connection: C) {
+        if self.breaks(now) {
+            return;
+        }
         let idle =
             self.servers.entry(server).or_insert(Idle { kept: Vec::new(), trusted_for: self.idle_for });
         idle.trusted_for = ((idle.trusted_for as f64 * TRUST_BACK) as Nanos).min(self.idle_for);
@@ -84,6 +114,7 @@
 
     /// A connection broke under its request after it had been idle for so long. All others idle that long go too.
     pub fn broke(&mut self, now: Nanos, server: S, waited: Nanos) {
+        self.broken.add(now, 1.0);
         let Some(idle) = self.servers.get_mut(&server) else { return };
         idle.trusted_for = ((waited as f64 * TRUST_AFTER_BREAK) as Nanos).clamp(IDLE_LEAST, IDLE_FOR);
         let before = idle.kept.len();
@@ -102,6 +133,12 @@
         });
     }
 
+    /// Whether used connections break too often to be used.
+    fn breaks(&self, now: Nanos) -> bool {
+        let (held, broken) = (self.held.read(now), self.broken.read(now));
+        broken > EVIDENCE && broken > BREAKS * (held + broken)
+    }
+
     pub fn idle(&self) -> usize {
         self.all
     }
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -62,6 +62,20 @@
     assert_eq!(idle.take(0, 8, |_| true), None);
 }
 
+#[test]
+fn where_used_connections_break_too_often_each_request_gets_a_new_one_until_that_is_long_ago() {
+    let mut idle: Connections<u8, u32> = Connections::default();
+    (0..20).for_each(|_| idle.held(S));
+    idle.broke(S, 9, S);
+    idle.keep(S, 9, 1);
+    assert!(idle.take(S, 9, |_| true).is_some(), "one in twenty is chance");
+    idle.keep(S, 9, 1);
+    (0..4).for_each(|_| idle.broke(S, 8, S));
+    assert_eq!(idle.take(S, 9, |_| true), None);
+    idle.keep(80 * S, 9, 2);
+    assert_eq!(idle.take(80 * S, 9, |_| true), Some((2, 0)));
+}
+
 #[test]
 fn a_connection_that_breaks_under_its_request_makes_the_idle_ones_less_trusted_for_a_while() {
     let mut idle: Connections<u8, u32> = Connections::default();
--- a/engine/src/exchange.rs
+++ b/engine/src/exchange.rs
@@ -242,7 +242,10 @@
         let pooled = if request.fresh { None } else { self.pool.pooled(request.to) };
         if let Some((sender, idle)) = pooled {
             match send(sender, message).await {
-                Ok(answered) => return Ok(answered),
+                Ok(answered) => {
+                    self.pool.held();
+                    return Ok(answered);
+                }
                 Err(Some(unwritten)) => message = unwritten,
                 Err(None) => {
                     self.pool.broke(request.to, idle);
--- a/engine/src/pool.rs
+++ b/engine/src/pool.rs
@@ -39,6 +39,11 @@
         self.idle.borrow_mut().take(self.now(), to, Sender::is_ready)
     }
 
+    /// An answer has come on a pooled connection.
+    pub fn held(&self) {
+        self.idle.borrow_mut().held(self.now());
+    }
+
     /// A pooled connection broke under its request.
     pub fn broke(&self, to: SocketAddr, idle: Nanos) {
         self.idle.borrow_mut().broke(self.now(), to, idle);
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -156,8 +156,11 @@
         if let Some((line, waited)) = pooled {
             if line.wire.write(message).await.is_ok() {
                 let answered = answered(line).await;
-                if let Err(Ending::Reset) = answered {
-                    self.0.idle.borrow_mut().broke(self.0.clock.now(), to, waited);
+                let now = self.0.clock.now();
+                match answered {
+                    Err(Ending::Reset) => self.0.idle.borrow_mut().broke(now, to, waited),
+                    Err(_) => {}
+                    Ok(_) => self.0.idle.borrow_mut().held(now),
                 }
                 return answered;
             }
