--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -370,3 +370,60 @@
     }
     drop(crowd);
 }
+
+#[test]
+fn a_state_whose_reader_is_silent_is_let_go_by_way_of_another_server() {
+    let world = World::start("other");
+    world.reader.set(Manner::Deaf);
+    let mut stream = world.connect();
+    stream.write_all(asks(1, "").as_bytes()).unwrap();
+    world.wait_for("the read begins", || !world.reader.seen().is_empty());
+    drop(stream);
+    let release = "DELETE /kv/leases/0000000000000001 ".to_owned();
+    world.wait_for("it is let go", || world.writer.seen().contains(&release));
+}
+
+#[test]
+fn a_server_whose_address_changes_under_its_name_is_found_at_the_new_one() {
+    let world = World::start("address");
+    let next = ModelServer::start(false, Manner::Good).unwrap();
+    world.agent.set(
+        &[entry("r", world.reader.address, "reader", "active"), entry("w", next.address, "writer", "active")]
+            .join(","),
+    );
+    let mut id = 0;
+    let until = Instant::now() + PATIENCE;
+    while next.seen().is_empty() {
+        assert!(Instant::now() < until, "never found");
+        id += 1;
+        assert!(world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_flood_beyond_what_can_be_in_hand_is_turned_away_at_once_and_what_is_in_hand_goes_on() {
+    let world = World::start("flood");
+    world.reader.set(Manner::Silent);
+    let mut flood: Vec<TcpStream> = (0..120)
+        .map(|id| {
+            let mut stream = world.connect();
+            stream.write_all(asks(id, "").as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    // More than there are connections to model servers for: the rest is told so while the others wait.
+    let told = flood.iter_mut().rev().filter_map(|stream| {
+        let mut status = [0; 12];
+        stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        stream.read_exact(&mut status).ok().map(|()| status)
+    });
+    let told: Vec<[u8; 12]> = told.collect();
+    assert!(!told.is_empty() && told.iter().all(|status| status == b"HTTP/1.1 503"), "{}", told.len());
+    drop(flood);
+    world.reader.set(Manner::Good);
+    world.wait_for("the next is served", || {
+        let id = 1000 + world.reader.seen().len() as u64;
+        world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200")
+    });
+}
--- /dev/null
+++ b/platform-terms/tests/terms.rs
@@ -0,0 +1,90 @@
+//! Lists, configurations and heads as the platform writes them, and what is malformed in them.
+
+use petrelshore::interface::*;
+use petrelshore_conductor::Relay;
+use petrelshore_conductor::intake::stable_id;
+use petrelshore_platform_terms::config::config;
+use petrelshore_platform_terms::list::listed;
+use petrelshore_platform_terms::request::sequence;
+use petrelshore_platform_terms::settings::Names;
+use serde_json::json;
+
+const S: Nanos = 1_000_000_000;
+
+fn names() -> Names {
+    let of = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    Names {
+        types: of(&["chat", "trace"]),
+        tenants: vec![],
+        zones: of(&["east", "west"]),
+        kinds: of(&["reader", "writer"]),
+        report: of(&["x0"]),
+    }
+}
+
+#[test]
+fn a_change_is_told_from_a_whole_list_and_one_bad_entry_does_not_hide_the_others() {
+    let entry = |name: &str, status: &str, since: u64| {
+        json!({"name": name, "address": "10.1.0.18:9000", "zone": "west", "type": "writer", "group": 3,
+               "status": status, "weight": 1.0, "since_ms": since})
+    };
+    let mut bad = entry("bad", "active", 0);
+    bad["type"] = json!("oracle");
+    let told = json!({"index": 43, "snapshot": false, "endpoints": [
+        entry("a", "leaving", 1_764_600_000_000), bad, entry("b", "left", 0), entry("c", "asleep", 0)]});
+    let list = listed(&told, &names()).unwrap();
+    assert_eq!((list.index, list.scope, list.entries.len()), (43, ListScope::Changes, 2));
+    let (first, address) = &list.entries[0];
+    assert_eq!((first.server, first.kind, first.cell), (ServerId(stable_id("a")), KindId(1), CellId(3)));
+    assert_eq!((first.zone, first.condition), (ZoneId(1), Condition::Draining));
+    assert_eq!((first.since, address.port()), (1_764_600_000 * S, 9000), "Unix time in whole nanoseconds");
+    assert_eq!(list.entries[1].0.condition, Condition::Gone);
+    assert!(list.left_out[0].contains("endpoints[1]: setting type") && list.left_out[1].contains("status"));
+    let whole = json!({"index": 1, "snapshot": true, "endpoints": []});
+    assert_eq!(listed(&whole, &names()).unwrap().scope, ListScope::Whole);
+    assert!(listed(&json!({"index": 1, "endpoints": []}), &names()).unwrap_err().contains("snapshot"));
+}
+
+#[test]
+fn a_head_becomes_a_sequence_and_its_time_ends_a_little_before_its_clients() {
+    let head = |name: &str| match name {
+        "Req-Id" => Some("9b1f03aa5c7e2d41"),
+        "Req-Kind" => Some("trace"),
+        "Req-Key" => Some("7f3a9c21e0b4d655"),
+        "Req-Deadline-Ms" => Some("4800"),
+        "Req-Extra" => Some("prefix=5c0f6e1a2b3d4c59,prompt_len=5120,prefix_len=2048,max_out=800,later=x"),
+        "Req-Retry" => Some("again"),
+        _ => None,
+    };
+    let new = sequence(head, &names(), 100 * S).unwrap();
+    assert_eq!((new.id, new.traffic, new.resumed), (SeqId(0x9b1f_03aa_5c7e_2d41), TypeId(1), true));
+    assert_eq!((new.prompt_tokens, new.prefix_tokens, new.max_out), (5120.0, 2048.0, 800.0));
+    assert_eq!((new.prefix, new.relay), (Some(PrefixId(0x5c0f_6e1a_2b3d_4c59)), Relay::Passed));
+    assert_eq!(new.abandon_at, 100 * S + 4_750_000_000);
+    for (field, value) in [
+        ("Req-Id", "9B1F03AA5C7E2D41"),
+        ("Req-Kind", "gossip"),
+        ("Req-Key", "x"),
+        ("Req-Deadline-Ms", "4.5"),
+        ("Req-Deadline-Ms", "+5"),
+        ("Req-Deadline-Ms", "600001"),
+        ("Req-Extra", "prompt_len=5120"),
+        ("Req-Extra", "prompt_len=1e9,max_out=5"),
+        ("Req-Extra", "prompt_len=NaN,max_out=5"),
+        ("Req-Extra", "prompt_len"),
+    ] {
+        let wrong = sequence(|name| if name == field { Some(value) } else { head(name) }, &names(), 0);
+        assert!(wrong.as_ref().is_err_and(|what| what.starts_with(field)), "{field}: {value}: {wrong:?}");
+        let missing = sequence(|name| head(name).filter(|_| name != field), &names(), 0);
+        assert_eq!(missing.is_ok(), field == "Req-Key", "{field}");
+    }
+}
+
+#[test]
+fn a_configuration_that_is_cut_anywhere_is_an_error_and_never_a_panic() {
+    let good = r#"{"name":"n3","listen":"10.0.0.4:9000","discovery":"10.2.0.1:8500","seed":"8c1f","limits":{"memory_mb":64}}"#;
+    for end in 0..good.len() {
+        assert!(config(&good[..end]).is_err(), "cut at {end}");
+    }
+    assert!(config(good).unwrap_err().contains("settings"));
+}
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -22,6 +22,8 @@
     /// Closes once the request has come whole.
     Resets,
     Silent,
+    /// Silent to everything, words to let go too.
+    Deaf,
     Noise,
     EndlessHead,
     /// A good answer behind many of status 1xx, and with a load report that can't be read.
@@ -102,6 +104,7 @@
             self.seen.lock().unwrap().push(format!("{line} {id}"));
             let manner = *self.manner.lock().unwrap();
             let goes_on = match line.starts_with("DELETE") {
+                true if manner == Manner::Deaf => hang().is_ok(),
                 true => out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_ok(),
                 false => answer(&mut out, reads, manner).is_ok(),
             };
@@ -153,7 +156,7 @@
         Manner::Fails => brief("500 Internal Server Error", ""),
         Manner::StateGone => brief("410 Gone", "Srv-Declined: 1\r\n"),
         Manner::Resets => return ends(),
-        Manner::Silent => return hang(),
+        Manner::Silent | Manner::Deaf => return hang(),
         Manner::Noise => "\u{1}\u{2} no answer\r\n\r\n".to_owned(),
         Manner::EndlessHead => {
             out.write_all(b"HTTP/1.1 200 OK\r\n")?;
