--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,8 +245,8 @@
         if now + RECHECK >= seq.abandon_at || self.spent(seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong once
-        // begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
+        // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong
+        // once begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
         let wrong = |a: &Attempt| matches!(a.status, Status::Closed(Outcome::Error | Outcome::Reset));
         let wrong = seq.attempts.last().is_some_and(wrong);
         let state = seq.state.filter(|_| !wrong).filter(|(reader, since)| {
