Room and ways of release from the conductor; a begun request keeps its seat

Found on rereading: the platform's shell counted sequences in hand by itself where limits::Room does, with a time to come back; it always sent a lost reader's word to the same other server; and a kept connection whose next request had begun to come could still be closed as idle, which loses it (lobby.rs).

--- a/conductor/src/desk.rs
+++ b/conductor/src/desk.rs
@@ -7,7 +7,7 @@
 
 use crate::answers::SOON;
 use crate::intake::{Weighed, fingerprint};
-use crate::limits::{NoRoom, Room};
+use crate::limits::{NoRoom, Room, values};
 use crate::policy::Chooser;
 use crate::proof::Ending;
 use crate::releases::{Release, Releases, State, Word};
@@ -171,10 +171,9 @@
 impl<P: Clone> Desk<P> {
     /// `most` is how many sequences may be in hand.
     pub fn new(now: Nanos, deployment: Deployment, seed: u64, most: usize, chooser: Chooser) -> Self {
-        let highest = deployment.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
         Desk {
             effects: deployment.types.iter().map(|t| t.effect).collect(),
-            values: deployment.types.iter().map(|t| t.utility / highest).collect(),
+            values: values(&deployment.types),
             longest_retry_after: deployment.longest_retry_after,
             room: Room::new(now, most),
             replays: Replays::default(),
--- a/conductor/src/limits.rs
+++ b/conductor/src/limits.rs
@@ -4,7 +4,7 @@
 //! bound is met before anything is taken, so an answer is certain and costs nothing.
 
 use petrelshore::decay::DecayingSum;
-use petrelshore::interface::Nanos;
+use petrelshore::interface::{Nanos, TrafficType};
 use std::collections::BTreeMap;
 
 /// Memory of how fast sequences leave: some answers long.
@@ -23,6 +23,12 @@
 /// Whole answers are gathered in memory up to so many bytes; no answer's most tokens come near it.
 pub const WHOLE_ANSWER: usize = 8 << 20;
 
+/// What each traffic type is worth against the highest.
+pub fn values(types: &[TrafficType]) -> Vec<f64> {
+    let highest = types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+    types.iter().map(|t| t.utility / highest).collect()
+}
+
 /// Room for sequences in hand, counted over all fronts of the gateway.
 #[derive(Debug)]
 pub struct Room {
--- a/conductor/src/lobby.rs
+++ b/conductor/src/lobby.rs
@@ -77,6 +77,14 @@
         (Entry::Seated(seat), leaves)
     }
 
+    /// A request begins to come. On a kept connection its client is not to lose it from here on; a new one has to
+    /// bring it whole first, or half requests would fill the house.
+    pub fn begins(&mut self, seat: SeatId) {
+        if matches!(self.seats.get(&seat), Some(Seat::Idle(_))) {
+            self.asks(seat);
+        }
+    }
+
     /// A whole request has come.
     pub fn asks(&mut self, seat: SeatId) {
         self.set(seat, Seat::Asking);
@@ -135,6 +143,17 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_request_that_begins_is_kept_on_a_used_connection_and_has_to_be_whole_on_a_new_one() {
+        let mut lobby = Lobby::new(5);
+        let (new, used) = (seated(&mut lobby, 0), seated(&mut lobby, 0));
+        lobby.idles(0, used);
+        [new, used].map(|seat| lobby.begins(seat));
+        assert_eq!(lobby.idle(), [new]);
+        lobby.asks(new);
+        assert_eq!(lobby.idle(), []);
+    }
+
     const SECOND: Nanos = 1_000 * MILLISECOND;
 
     fn seated(lobby: &mut Lobby, now: Nanos) -> SeatId {
--- a/conductor/src/releases.rs
+++ b/conductor/src/releases.rs
@@ -114,6 +114,16 @@
         (self.within / FIRST).max(1)
     }
 
+    /// By way of whom else a reader that can't be had is told, of the servers that should be there: another one with
+    /// each try, since that one may be lost too.
+    pub fn by_way_of(&self, release: &Release, ready: &[ServerId]) -> Option<ServerId> {
+        let others: Vec<ServerId> = ready.iter().copied().filter(|id| *id != release.server).collect();
+        let first = self.owed.get(release).map_or(self.within, |owed| owed.wait);
+        let tries = (first / self.answer_within()).max(1).ilog2() as usize;
+        let at = (release.server.0 as usize).wrapping_add(tries) % others.len().max(1);
+        others.get(at).copied()
+    }
+
     pub fn next_due(&self) -> Option<Nanos> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -1,5 +1,6 @@
 //! Room, doors, connections, releases and replays: each decision by itself.
 
+use petrelshore::interface::ServerId;
 use petrelshore_conductor::connections::Connections;
 use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::limits::{NoRoom, Room};
@@ -339,3 +340,21 @@
     releases.told(MS, &release, Word::Gone);
     assert_eq!(releases.owed(), 0);
 }
+
+#[test]
+fn a_reader_that_cannot_be_had_is_told_by_way_of_another_server_with_each_try() {
+    let mut owed = Releases::new(500 * MS);
+    let release = Release { server: ServerId(2), request: "a".to_owned() };
+    let ready: Vec<ServerId> = (1..=4).map(ServerId).collect();
+    assert!(owed.owe(0, &release, State::Held));
+    let mut asked = vec![owed.by_way_of(&release, &ready).unwrap()];
+    for time in [150, 400, 1000] {
+        assert_eq!(owed.due(time * MS).len(), 1);
+        asked.push(owed.by_way_of(&release, &ready).unwrap());
+    }
+    assert!(!asked.contains(&ServerId(2)));
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 3, "each of the others in turn");
+    assert_eq!(owed.by_way_of(&release, &[ServerId(2)]), None);
+}
--- a/framing/src/head.rs
+++ b/framing/src/head.rs
@@ -177,7 +177,7 @@
 
     #[test]
     fn endless_and_unreadable_heads_are_refused_in_bounded_memory() {
-        let endless = format!("GET / HTTP/1.1\r\n{}", "a: b\r\n".repeat(20)).repeat(1) + &"x".repeat(LONGEST);
+        let endless = "GET / HTTP/1.1\r\n".to_owned() + &"x".repeat(LONGEST);
         assert_eq!(asked(&endless).err(), Some(Unreadable::HeadTooLong));
         assert_eq!(asked("\0\0\0\r\n\r\n").err(), Some(Unreadable::Head));
         assert_eq!(asked("GET / HTTP/1.1\r\na b: c\r\n\r\n").err(), Some(Unreadable::Head));
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Largest whole answer of a model server, and largest chunk of a stream: a body holds no more.
-pub const LARGEST: usize = 256 << 10;
+const LARGEST: usize = 256 << 10;
 /// Most answers of status 1xx before the one that counts.
 const INTERIM: usize = 1000;
 
--- a/platform-engine/src/stream.rs
+++ b/platform-engine/src/stream.rs
@@ -1,12 +1,11 @@
 //! A stream of events that is passed on as it comes.
 
-use crate::client::{LARGEST, Line, Shared, ending};
+use crate::client::{Line, Shared, ending};
 use bytes::{Bytes, BytesMut};
 use petrelshore::interface::Report;
 use petrelshore_conductor::proof::Ending;
 use petrelshore_framing::body::{Body, Framing};
 use petrelshore_framing::head::AnswerHead;
-use petrelshore_framing::wire::Broken;
 use petrelshore_platform_terms::load;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,10 +54,10 @@
                 }
                 return Ok(None);
             }
-            if self.data.len() > LARGEST_EVENT.min(LARGEST) {
+            if self.data.len() > LARGEST_EVENT {
                 return Err(Ending::Malformed);
             }
-            line.wire.more().await.map_err(|broken: Broken| ending(broken))?;
+            line.wire.more().await.map_err(ending)?;
         }
     }
 
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -27,10 +27,17 @@
 struct Turned {
     status: u16,
     what: String,
+    retry_after: Option<Nanos>,
+}
+
+impl Turned {
+    fn new(status: u16, what: impl Into<String>) -> Self {
+        Turned { status, what: what.into(), retry_after: None }
+    }
 }
 
 fn turned<T>(status: u16, what: impl Into<String>) -> Result<T, Turned> {
-    Err(Turned { status, what: what.into() })
+    Err(Turned::new(status, what))
 }
 
 /// What became of waiting for a request.
@@ -50,6 +57,7 @@
             true => opened.take().unwrap_or_else(|| clock.now()),
             false => return,
         };
+        house.lobby().borrow_mut().begins(seat);
         let head = match head(house, began, &mut wire).await {
             Came::Head(head) => head,
             Came::Turned(turned) => return turn_away(&wire, turned).await,
@@ -87,15 +95,15 @@
 async fn head(house: &House, began: Nanos, wire: &mut Wire) -> Came {
     let late = async {
         Timer::at(house.service().clock().instant(began + HEAD_WITHIN)).await;
-        Came::Turned(Turned { status: 408, what: "the head was not whole in time".to_owned() })
+        Came::Turned(Turned::new(408, "the head was not whole in time"))
     };
     let whole = async {
         match wire.request().await {
             Ok(head) => Came::Head(head),
             Err(Broken::Unreadable(what @ Unreadable::HeadTooLong)) => {
-                Came::Turned(Turned { status: 431, what: what.to_string() })
+                Came::Turned(Turned::new(431, what.to_string()))
             }
-            Err(Broken::Unreadable(what)) => Came::Turned(Turned { status: 400, what: what.to_string() }),
+            Err(Broken::Unreadable(what)) => Came::Turned(Turned::new(400, what.to_string())),
             Err(Broken::Closed) => Came::Left,
         }
     };
@@ -139,7 +147,9 @@
     match house.service().take(new, message) {
         Ok(answer) => Ok(answered(house, head, wire, answer).await),
         Err(Refused::IdInHand) => turned(409, "Req-Id is in hand already"),
-        Err(Refused::Full) => turned(503, "too many requests in hand"),
+        Err(Refused::Full { retry_after }) => {
+            Err(Turned { retry_after, ..Turned::new(503, "too many requests in hand") })
+        }
     }
 }
 
@@ -151,8 +161,8 @@
     wire: &mut Wire,
 ) -> Result<(Bytes, Reading), Turned> {
     let shut = |shut: Shut| match shut {
-        Shut::TooLarge => Turned { status: 413, what: "the body is too large".to_owned() },
-        Shut::Full | Shut::AddressFull => Turned { status: 503, what: "too much in hand".to_owned() },
+        Shut::TooLarge => Turned::new(413, "the body is too large"),
+        Shut::Full | Shut::AddressFull => Turned::new(503, "too much in hand"),
     };
     let mut room = house.reading(seat);
     if let Framing::Length(told) = head.framing {
@@ -220,5 +230,5 @@
 
 async fn turn_away(wire: &Wire, turned: Turned) {
     debug!(status = turned.status, what = turned.what, "turned away");
-    written(wire, reply::brief(turned.status, &turned.what, true, None).as_bytes()).await;
+    written(wire, reply::brief(turned.status, &turned.what, true, turned.retry_after).as_bytes()).await;
 }
