--- a/conductor/src/lobby.rs
+++ b/conductor/src/lobby.rs
@@ -148,7 +148,7 @@
         let mut lobby = Lobby::new(5);
         let (new, used) = (seated(&mut lobby, 0), seated(&mut lobby, 0));
         lobby.idles(0, used);
-        [new, used].map(|seat| lobby.begins(seat));
+        [new, used].into_iter().for_each(|seat| lobby.begins(seat));
         assert_eq!(lobby.idle(), [new]);
         lobby.asks(new);
         assert_eq!(lobby.idle(), []);
