A server that refused a connection ranks behind one that is merely full

At fault: brain.rs, pick_writer and pick_reader, which set everything that is not ready alike behind the rest and then took the least loaded of it: a dead writer, as its streams had ended. Excluded: the list, which told of it 1.3 s later, and the pause after a refusal, which was kept.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -346,7 +346,7 @@
         let work = |s: &Server| {
             let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
             let home = homes.get(&s.listing.server).map_or(0.0, |away| nearest / away);
-            let last = if self.ready(now, s) { 0.0 } else { LAST };
+            let last = self.last(now, s, self.ready(now, s));
             let again = far - HOME * home + 2.0 * self.doubt(now, s, seq);
             self.read_work(now, s, seq, shared) + again * seq.prompt_tokens + last
         };
@@ -453,7 +453,7 @@
                 (false, true) => SPILL,
                 (false, false) => 1.0,
             };
-            let last = if sound(s) { 0.0 } else { LAST * (1.0 + far) };
+            let last = self.last(now, s, sound(s)) * (1.0 + far);
             self.decode_load(now, s) + far + self.doubt(now, s, seq) + last
         };
         let writer = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
@@ -512,6 +512,16 @@
         server.listing.condition == Condition::Ready && now >= server.paused_until && !self.slow(now, server)
     }
 
+    /// What is not ready comes last, and behind it what has just refused or broken a connection. A full or slow server
+    /// still answers: guards against turning thrice to one that is gone, which looks least loaded as its streams ended.
+    fn last(&self, now: Nanos, server: &Server, ready: bool) -> f64 {
+        match ready {
+            true => 0.0,
+            false if now >= server.paused_until => LAST,
+            false => 10.0 * LAST,
+        }
+    }
+
     /// Guards against a server that runs far slower than its fellows or has gone silent: by a high quantile
     /// of its answer times, or by how long it has been quiet. Old verdicts fade, so it is tried again.
     fn slow(&self, now: Nanos, server: &Server) -> bool {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -421,3 +421,19 @@
         assert_eq!(sent(brain.schedule(now + 50 * MS, &mut next)) == other, paused, "{outcome:?}");
     }
 }
+
+#[test]
+fn a_writer_that_refuses_its_connection_is_not_turned_to_again_while_the_others_are_full() {
+    let mut brain = brain(deployment(), &fleet());
+    let mut seq = sequence(1, 0, START);
+    let reader = read(&mut brain, START, &mut seq, 50 * MS);
+    let now = START + 50 * MS;
+    for writer in [1, 2, 4, 5].into_iter().filter(|writer| *writer != reader.0 + 1) {
+        brain.reported(now, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
+    }
+    let gone = sent(brain.schedule(now, &mut seq));
+    assert_eq!(gone.0, reader.0 + 1, "the only one with room");
+    // Its streams ended with it, so it looks as empty as before.
+    close(&mut brain, now, &mut seq, Outcome::ConnectFailed);
+    assert_eq!(sent(brain.schedule(now, &mut seq)).0, reader.0 + 2, "full, and there");
+}
