A gateway that stops ends its streams one after the other, late where another is away

At fault: leaving.rs and Conductor::finish_streams, which ended all at once. Now they are ended over 2 s, the newest first.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -5,7 +5,6 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 use petrelshore::interface::Nanos;
-use petrelshore_conductor::leaving::leaving;
 use petrelshore_front::entrance::bind;
 use petrelshore_gateway::Spawner;
 use petrelshore_platform::{Service, discovery};
@@ -26,6 +25,9 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// After the last final answer, for its bytes to reach the client.
 const LAST_BYTES: Duration = Duration::from_millis(100);
+/// Streams are moved in steps of this.
+const A_MOVE: Nanos = 50 * MILLISECOND;
+const MILLISECOND: Nanos = 1_000_000;
 /// What the gateway holds is logged so often.
 const LOGGED: Duration = Duration::from_secs(5);
 
@@ -51,7 +53,7 @@
     let descriptors = config.descriptors.saturating_sub(OWN);
     let clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
     let (name, memory, listen) = (config.name.clone(), config.memory_bytes, listening.address);
-    let leaving = leaving(config.longest_abandon, config.clients_resume);
+    let (longest_abandon, clients_resume) = (config.longest_abandon, config.clients_resume);
     let service = Service::start(config, descriptors.saturating_sub(clients).max(1), Spawner::new(executor));
     executor.spawn(discovery::watch(service.clone())).detach();
     let house = House::new(service.clone(), clients, memory);
@@ -67,15 +69,23 @@
     }
     info!(in_hand = service.in_hand(), "stopping: what is taken is answered");
     let told = service.clock().now();
+    let leaving = service.leaving(longest_abandon, clients_resume);
     let at = |after: Nanos| Timer::at(service.clock().instant(told + after));
-    if let Some(after) = leaving.move_streams_at {
-        at(after).await;
-        info!(in_hand = service.in_hand(), "moving the streams that run");
-        service.end_streams();
-    }
-    at(leaving.serve_until).await;
-    drop(front);
-    house.leave();
+    let moving = async {
+        let Some((mut after, until)) = leaving.move_streams else { return };
+        info!(from_ms = after / MILLISECOND, until_ms = until / MILLISECOND, "streams will be moved");
+        while after <= until {
+            at(after).await;
+            service.end_streams(leaving.to_move(after, after + A_MOVE, service.streams()));
+            after += A_MOVE;
+        }
+    };
+    let shutting = async {
+        at(leaving.serve_until).await;
+        drop(front);
+        house.leave();
+    };
+    future::zip(moving, shutting).await;
     let late = async {
         match leaving.end_all_at {
             Some(after) => at(after).await,
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -350,17 +350,26 @@
         self.draining = true;
     }
 
-    /// Ends every stream that runs, for its client to ask for the rest elsewhere. What has not begun goes on.
-    pub fn finish_streams(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let runs = |held: &Held| held.seq.attempts.last().is_some_and(|a| a.status == Status::Streaming);
-        let mut ids: Vec<SeqId> =
-            self.held.iter().filter(|(_, held)| runs(held)).map(|(id, _)| *id).collect();
-        ids.sort_unstable();
-        for id in ids {
+    /// Ends so many of the streams that run, for their clients to ask for the rest elsewhere, the newest first: they
+    /// have the most left. What has not begun goes on.
+    pub fn finish_streams(&mut self, now: Nanos, most: usize, out: &mut Vec<Action>) {
+        let mut running: Vec<(Nanos, SeqId)> = self.running().collect();
+        running.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, id) in running.into_iter().take(most) {
             self.finish(now, id, Reason::Draining, out);
         }
     }
 
+    /// Streams that run.
+    pub fn streams(&self) -> usize {
+        self.running().count()
+    }
+
+    fn running(&self) -> impl Iterator<Item = (Nanos, SeqId)> {
+        let streams = |held: &&Held| held.seq.attempts.last().is_some_and(|a| a.status == Status::Streaming);
+        self.held.values().filter(streams).map(|held| (held.seq.arrived, held.seq.id))
+    }
+
     /// The time to drain is over: whatever is in hand gets its final answer now.
     pub fn finish_all(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.draining = true;
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -127,7 +127,7 @@
     let waits = SeqId(6);
     conductor.take(START + 30 * MS, sequence(waits, Relay::Passed), &mut out);
     out.clear();
-    conductor.finish_streams(START + S, &mut out);
+    conductor.finish_streams(START + S, conductor.streams(), &mut out);
     let over = Action::Over { id, outcome: Outcome::Cancelled, reason: Some(Reason::Draining) };
     assert_eq!((out.contains(&over), conductor.in_hand(), conductor.holds(waits)), (true, 1, true));
 }
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -51,6 +51,7 @@
 /// Serves a connection until it ends.
 pub async fn serve(house: &House, seat: SeatId, mut wire: Wire) {
     let clock = house.service().clock();
+    debug!(seat = seat.0, "came");
     let mut opened = Some(clock.now());
     loop {
         let began = match first_byte(house, seat, &mut wire, opened.is_some()).await {
@@ -122,6 +123,7 @@
     let path = target.split_once('?').map_or(target, |(path, _)| path);
     match (&head.method[..], path) {
         (b"GET", "/healthz") if head.framing == Framing::Length(0) => {
+            debug!(seat = seat.0, "asked whether it is ready");
             // Closed at once: those who ask this by the hundreds and stay would leave no place for the others.
             written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
             return Ok(false);
@@ -136,6 +138,7 @@
     };
     let (body, room) = future::or(body(house, seat, head, wire), late).await?;
     house.lobby().borrow_mut().asks(seat);
+    debug!(seat = seat.0, "asks");
     serde_json::from_slice::<serde::de::IgnoredAny>(&body)
         .or_else(|_| turned(400, "the body is not JSON"))?;
 
