What the platform's shell kept for its sequences is a passage in the conductor, without I/O

Four tests without sockets: a state whose writer broke, an id in hand and no room, a client that leaves during its read, an address that changes under its name.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -76,7 +76,7 @@
         info!(from_ms = after / MILLISECOND, until_ms = until / MILLISECOND, "streams will be moved");
         while after <= until {
             at(after).await;
-            service.end_streams(leaving.to_move(after, after + A_MOVE, service.streams()));
+            service.move_streams(&leaving, (after, after + A_MOVE));
             after += A_MOVE;
         }
     };
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -2,16 +2,19 @@
 
 use petrelshore::interface::*;
 use petrelshore_conductor::connections::Connections;
+use petrelshore_conductor::passage::{Final, Order, Passage, Refusal};
 use petrelshore_conductor::proof::Ending;
-use petrelshore_conductor::{Action, Conductor, NewSequence, Reason, Relay};
+use petrelshore_conductor::releases::Release;
+use petrelshore_conductor::{Action, Conductor, Dispatch, NewSequence, Reason, Relay};
+use std::net::SocketAddr;
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
 const START: Nanos = 1_000 * S;
 
-fn conductor() -> Conductor {
+fn deployment() -> Deployment {
     let kind = |role| Kind { role, memory_tokens: 100_000.0 };
-    let deployment = Deployment {
+    Deployment {
         gateways: 1,
         zone: ZoneId(0),
         types: vec![TrafficType {
@@ -35,9 +38,11 @@
         cold_from: 0.3,
         cold_multiple: 2.5,
         cold_window: S,
-    };
-    let mut conductor = Conductor::new(START, deployment, 7);
-    let entry = |server, kind| Listing {
+    }
+}
+
+fn entry(server: u64, kind: usize) -> Listing {
+    Listing {
         server: ServerId(server),
         kind: KindId(kind),
         cell: CellId(0),
@@ -45,11 +50,53 @@
         weight: 1.0,
         since: 0,
         condition: Condition::Ready,
-    };
+    }
+}
+
+fn conductor() -> Conductor {
+    let mut conductor = Conductor::new(START, deployment(), 7);
     conductor.listed(START, ListScope::Whole, &[entry(1, 0), entry(2, 1)]);
     conductor
 }
 
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Two readers, 1 and 2, and a writer, 3, each at a port of its number.
+fn passage(most: usize) -> Passage<&'static str> {
+    let mut passage = Passage::new(START, deployment(), 7, most);
+    let entries = [(entry(1, 0), at(1)), (entry(2, 0), at(2)), (entry(3, 1), at(3))];
+    passage.listed(START, ListScope::Whole, &entries);
+    passage
+}
+
+/// Takes a sequence; where its prompt is read.
+fn taken(passage: &mut Passage<&'static str>, id: SeqId) -> Dispatch {
+    let mut out = Vec::new();
+    passage.take(START, sequence(id, Relay::Passed), "hello", &mut out).unwrap();
+    sent(&out)
+}
+
+fn sent(out: &[Order<&'static str>]) -> Dispatch {
+    let sent = out.iter().rev().find_map(|order| match order {
+        Order::Send { dispatch, to, message: Some("hello") } => {
+            assert_eq!(*to, Some(at(dispatch.server.0 as u16)));
+            Some(*dispatch)
+        }
+        _ => None,
+    });
+    sent.unwrap_or_else(|| panic!("nothing is sent: {out:?}"))
+}
+
+fn let_go(out: &[Order<&'static str>]) -> Vec<Release> {
+    let releases = out.iter().filter_map(|order| match order {
+        Order::LetGo(release) => Some(release.clone()),
+        _ => None,
+    });
+    releases.collect()
+}
+
 /// A sequence whose first event has come.
 fn streaming(conductor: &mut Conductor, relay: Relay) -> SeqId {
     let (id, mut out) = (SeqId(5), Vec::new());
@@ -143,3 +190,76 @@
     assert_eq!(idle.take(7 * S + 1, 3, |_| true), None, "its server may be about to close it");
     assert!(!idle.shed());
 }
+
+#[test]
+fn a_state_whose_writer_broke_is_let_go_with_the_first_event_of_the_next() {
+    let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
+    let first = taken(&mut passage, id);
+    passage.ended(START + MS, &first, Ending::ReadDone { kept: 0.0 }, &mut out);
+    let broken = sent(&out);
+    passage.ended(START + 2 * MS, &broken, Ending::Reset, &mut out);
+    let again = sent(&out);
+    assert_eq!((again.step, let_go(&out)), (Step::Read, vec![]), "a word now might overtake the read anew");
+    passage.ended(START + 3 * MS, &again, Ending::ReadDone { kept: 0.0 }, &mut out);
+    let writes = sent(&out);
+    out.clear();
+    passage.began(START + 4 * MS, &writes, &mut out);
+    let left = (first.server != again.server).then_some(first.server);
+    assert_eq!(let_go(&out).first().map(|release| release.server), left);
+    out.clear();
+    passage.ended(START + 5 * MS, &writes, Ending::Generated, &mut out);
+    assert_eq!(out, [Order::Answer { id, last: Final::Generated }, Order::Over { id }]);
+    assert_eq!(passage.in_hand(), 0);
+}
+
+#[test]
+fn an_id_in_hand_and_more_than_there_is_room_for_are_refused_and_leave_nothing_behind() {
+    let (mut passage, mut out) = (passage(1), Vec::new());
+    taken(&mut passage, SeqId(5));
+    let again = passage.take(START, sequence(SeqId(5), Relay::Passed), "hello", &mut out);
+    assert_eq!(again, Err(Refusal::IdInHand));
+    let other = passage.take(START, sequence(SeqId(6), Relay::Passed), "hello", &mut out);
+    assert_eq!(other, Err(Refusal::Full { retry_after: None }), "these settings allow no time to come back");
+    assert_eq!((out.len(), passage.in_hand()), (0, 1));
+    passage.end_all(START + MS, &mut out);
+    let last = Final::Rejected { retry_after: None, reason: Reason::Draining };
+    assert!(out.contains(&Order::Answer { id: SeqId(5), last }), "{out:?}");
+    assert_eq!(out.iter().filter(|order| matches!(order, Order::Answer { .. })).count(), 1);
+    assert_eq!((passage.in_hand(), passage.counts().taken), (0, 1));
+}
+
+#[test]
+fn a_client_that_leaves_during_its_read_has_it_broken_off_and_let_go_until_its_reader_says_so() {
+    let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
+    let read = taken(&mut passage, id);
+    passage.withdrawn(START + MS, id, &mut out);
+    let release = Release { server: read.server, request: format!("{:016x}", id.0) };
+    assert_eq!(out, [Order::BreakOff { id, attempt: 0 }, Order::LetGo(release.clone()), Order::Over { id }]);
+    assert!(passage.by_way_of(&release).is_some_and(|other| Some(other) != passage.address(read.server)));
+    passage.told(START + 2 * MS, &release, false);
+    passage.told(START + 2 * MS, &release, true);
+    assert_eq!(passage.releases_owed(), 1, "the read may come behind the word");
+    out.clear();
+    passage.due(START + 3 * S, &mut out);
+    assert_eq!(let_go(&out), std::slice::from_ref(&release));
+    passage.told(START + 3 * S, &release, true);
+    assert_eq!(passage.releases_owed(), 0);
+}
+
+#[test]
+fn an_address_that_changes_under_its_name_is_the_one_used_and_what_is_not_listed_any_more_is_gone() {
+    let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
+    let read = taken(&mut passage, id);
+    passage.listed(START, ListScope::Changes, &[(entry(3, 1), at(30))]);
+    assert_eq!((passage.lists(&at(3)), passage.lists(&at(30))), (false, true));
+    passage.ended(START + MS, &read, Ending::ReadDone { kept: 0.0 }, &mut out);
+    assert!(matches!(out[..], [Order::Send { to: Some(to), .. }] if to == at(30)), "{out:?}");
+    let gone = Listing { condition: Condition::Gone, ..entry(read.server.0, 0) };
+    passage.listed(START + MS, ListScope::Changes, &[(gone, at(9))]);
+    out.clear();
+    passage.withdrawn(START + 2 * MS, id, &mut out);
+    let release = let_go(&out)[0].clone();
+    assert_eq!(passage.address(release.server), None);
+    passage.told(START + 2 * MS, &release, false);
+    assert_eq!(passage.releases_owed(), 0);
+}
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -8,12 +8,13 @@
 use petrelshore::interface::Nanos;
 use petrelshore_conductor::doors::Shut;
 use petrelshore_conductor::lobby::{BODY_WITHIN, HEAD_WITHIN, SeatId};
+use petrelshore_conductor::passage::{Final, Refusal};
 use petrelshore_framing::Unreadable;
 use petrelshore_framing::body::{Body, Framing};
 use petrelshore_framing::head::RequestHead;
 use petrelshore_framing::wire::{Broken, Wire};
 use petrelshore_front::entrance::{Reading, stalled_for};
-use petrelshore_platform::{Answer, Message, Next, Refused};
+use petrelshore_platform::{Answer, Message, Next};
 use petrelshore_platform_terms::request::sequence;
 use std::rc::Rc;
 use std::time::Duration;
@@ -149,8 +150,8 @@
     let message = Message { id, target: head.target.clone(), body, room };
     match house.service().take(new, message) {
         Ok(answer) => Ok(answered(house, head, wire, answer).await),
-        Err(Refused::IdInHand) => turned(409, "Req-Id is in hand already"),
-        Err(Refused::Full { retry_after }) => {
+        Err(Refusal::IdInHand) => turned(409, "Req-Id is in hand already"),
+        Err(Refusal::Full { retry_after }) => {
             Err(Turned { retry_after, ..Turned::new(503, "too many requests in hand") })
         }
     }
@@ -207,14 +208,14 @@
                     return false;
                 }
             }
-            Next::Whole => return written(wire, reply::LAST_CHUNK).await,
+            Next::Last(Final::Generated) => return written(wire, reply::LAST_CHUNK).await,
             // Without the last chunk, so that nobody takes it for whole.
-            Next::Rejected { .. } | Next::Aborted if began => return false,
-            Next::Rejected { retry_after } => {
+            Next::Last(_) if began => return false,
+            Next::Last(Final::Rejected { retry_after, .. }) => {
                 let told = reply::brief(503, "no room, trying again is harmless\n", closes, retry_after);
                 return written(wire, told.as_bytes()).await;
             }
-            Next::Aborted => {
+            Next::Last(Final::Aborted { .. }) => {
                 let told = reply::brief(502, "the attempts failed\n", closes, None);
                 return written(wire, told.as_bytes()).await;
             }
