Hard cases: a silent agent, too few descriptors, a server never up, a kept connection that closes

Four cases of the issue had no test. The stand-in agent falls silent on open connections, a model server closes each connection at its second request; a listener with a full queue stands for a server that never comes up; the gateway runs under `ulimit -n 40` with a configuration that tells of 256 descriptors. All passed at once, nothing was at fault.

--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -45,6 +45,10 @@
 
 impl World {
     fn start(name: &str) -> World {
+        Self::start_as(name, command)
+    }
+
+    fn start_as(name: &str, command: impl Fn(&PathBuf) -> Command) -> World {
         let reader = ModelServer::start(true, Manner::Good).unwrap();
         let writer = ModelServer::start(false, Manner::Good).unwrap();
         let entries =
@@ -429,3 +433,42 @@
         world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200")
     });
 }
+
+#[test]
+fn while_discovery_is_silent_it_serves_by_the_list_it_has_and_takes_up_the_next_one_after() {
+    let world = World::start("silent");
+    world.wait_for("discovery is asked", || world.agent.asked() > 0);
+    world.agent.silence(true);
+    let next = ModelServer::start(false, Manner::Good).unwrap();
+    world.agent.set(
+        &[entry("r", world.reader.address, "reader", "active"), entry("w", next.address, "writer", "active")]
+            .join(","),
+    );
+    world.wait_for("it is asked anew", || world.agent.asked() > 2);
+    assert!(world.told(asks(1, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
+    assert!(next.seen().is_empty(), "nobody has told of it");
+    world.agent.silence(false);
+    world.wait_for("the next list is taken up", || {
+        let id = 2 + world.reader.seen().len() as u64;
+        world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200")
+            && !next.seen().is_empty()
+    });
+}
+
+#[test]
+fn where_fewer_descriptors_are_to_be_had_than_it_was_told_it_goes_on_once_some_are_free() {
+    let world = World::start_as("descriptors", |file| {
+        let mut limited = Command::new("sh");
+        let run = "ulimit -n 40; exec \"$0\" platform";
+        limited.args(["-c", run, env!("CARGO_BIN_EXE_petrelshore")]).env("LB_CONFIG", file);
+        limited.stderr(Stdio::piped());
+        limited
+    });
+    let crowd: Vec<TcpStream> = (0..60).map(|_| world.connect()).collect();
+    std::thread::sleep(Duration::from_millis(200));
+    drop(crowd);
+    world.wait_for("it serves again", || {
+        let id = 1 + world.reader.seen().len() as u64;
+        world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200")
+    });
+}
--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -128,3 +128,35 @@
     assert_eq!(async_io::block_on(client.release(servers[0].address, "00000000000000aa", PATIENCE)), Ok(()));
     assert_eq!(servers[0].seen()[1], "DELETE /kv/leases/00000000000000aa ");
 }
+
+#[test]
+fn a_kept_connection_that_closes_under_its_request_proves_nothing_and_the_next_gets_a_new_one() {
+    let server = ModelServer::start(false, Manner::OncePerConnection).unwrap();
+    let client = client(4);
+    async_io::block_on(async {
+        assert_eq!(written(&client, server.address).await, (events(), Ok(())));
+        assert_eq!(client.open(), (1, 1), "kept for the next");
+        let (passed, ended) = written(&client, server.address).await;
+        assert_eq!((passed.as_str(), ended), ("", Err(Ending::Reset)), "it has come whole, and may have run");
+        assert_eq!(written(&client, server.address).await, (events(), Ok(())));
+    });
+    assert_eq!(server.connections(), 2);
+}
+
+#[test]
+fn a_server_that_never_comes_up_gives_its_place_back_in_time_and_nothing_has_run() {
+    // Its queue of connections is full, so that the next ones hang.
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    rustix::net::listen(&listener, 0).unwrap();
+    let to = listener.local_addr().unwrap();
+    let _queue: Vec<_> =
+        (0..4).map(|_| std::net::TcpStream::connect_timeout(&to, Duration::from_millis(50))).collect();
+    let client = client(1);
+    async_io::block_on(async {
+        for _ in 0..3 {
+            let heard = client.read(&Call { connect_within: Duration::from_millis(50), ..call(to) }).await;
+            assert_eq!(heard.result, Err(Ending::NotConnected));
+        }
+    });
+    assert_eq!(client.open(), (0, 0));
+}
--- a/stand-in/src/platform.rs
+++ b/stand-in/src/platform.rs
@@ -24,6 +24,8 @@
     Silent,
     /// Silent to everything, words to let go too.
     Deaf,
+    /// Good once on each connection; at the next request it closes.
+    OncePerConnection,
     Noise,
     EndlessHead,
     /// A good answer behind many of status 1xx, and with a load report that can't be read.
@@ -100,9 +102,14 @@
     fn serve(&self, reads: bool, stream: TcpStream) {
         let Ok(mut out) = stream.try_clone() else { return };
         let mut lines = BufReader::new(stream);
+        let mut answered = 0;
         while let Some((line, id)) = request(&mut lines) {
             self.seen.lock().unwrap().push(format!("{line} {id}"));
             let manner = *self.manner.lock().unwrap();
+            if manner == Manner::OncePerConnection && answered > 0 {
+                return;
+            }
+            answered += 1;
             let goes_on = match line.starts_with("DELETE") {
                 true if manner == Manner::Deaf => hang().is_ok(),
                 true => out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_ok(),
@@ -146,7 +153,7 @@
         false => format!("{HEAD}{}{}{}0\r\n\r\n", chunk(EVENT), chunk(EVENT), chunk(END)),
     };
     let text = match manner {
-        Manner::Good => good,
+        Manner::Good | Manner::OncePerConnection => good,
         Manner::Slow => {
             thread::sleep(Duration::from_millis(400));
             good
@@ -200,6 +207,7 @@
     list: Arc<Mutex<(u64, String)>>,
     /// Ports of connections that have asked.
     asked: Arc<Mutex<BTreeSet<u16>>>,
+    silent: Arc<Mutex<bool>>,
 }
 
 impl Agent {
@@ -209,6 +217,7 @@
             address: listener.local_addr()?,
             list: Arc::new(Mutex::new((1, entries.to_owned()))),
             asked: Arc::default(),
+            silent: Arc::default(),
         };
         let own = agent.clone();
         thread::spawn(move || {
@@ -226,6 +235,11 @@
         *list = (list.0 + 1, entries.to_owned());
     }
 
+    /// Answers nothing while it is silent, on connections that stay open.
+    pub fn silence(&self, silent: bool) {
+        *self.silent.lock().unwrap() = silent;
+    }
+
     /// How many connections have asked.
     pub fn asked(&self) -> usize {
         self.asked.lock().unwrap().len()
@@ -242,6 +256,10 @@
                 thread::sleep(Duration::from_millis(20));
                 waits -= 1;
             }
+            if *self.silent.lock().unwrap() {
+                let _ = hang();
+                return;
+            }
             let (index, entries) = self.list.lock().unwrap().clone();
             let body = format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{entries}]}}");
             let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
