--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -5,6 +5,7 @@
 use crate::policy::{Chooser, Policy};
 use crate::proof::Ending;
 use petrelshore::interface::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
 /// Whether what a writer says goes to the client at once, or when it is whole.
@@ -351,11 +352,11 @@
     }
 
     /// Ends so many of the streams that run, for their clients to ask for the rest elsewhere, the newest first: they
-    /// have the most left. What has not begun goes on.
+    /// have the most left. Those that were moved before go last, as each move costs a read. What has not begun goes on.
     pub fn finish_streams(&mut self, now: Nanos, most: usize, out: &mut Vec<Action>) {
-        let mut running: Vec<(Nanos, SeqId)> = self.running().collect();
-        running.sort_unstable_by(|a, b| b.cmp(a));
-        for (_, id) in running.into_iter().take(most) {
+        let mut running: Vec<(bool, Reverse<Nanos>, SeqId)> = self.running().collect();
+        running.sort_unstable();
+        for (.., id) in running.into_iter().take(most) {
             self.finish(now, id, Reason::Draining, out);
         }
     }
@@ -365,9 +366,9 @@
         self.running().count()
     }
 
-    fn running(&self) -> impl Iterator<Item = (Nanos, SeqId)> {
+    fn running(&self) -> impl Iterator<Item = (bool, Reverse<Nanos>, SeqId)> {
         let streams = |held: &&Held| held.seq.attempts.last().is_some_and(|a| a.status == Status::Streaming);
-        self.held.values().filter(streams).map(|held| (held.seq.arrived, held.seq.id))
+        self.held.values().filter(streams).map(|Held { seq, .. }| (seq.resumed, Reverse(seq.arrived), seq.id))
     }
 
     /// The time to drain is over: whatever is in hand gets its final answer now.
--- a/conductor/src/leaving.rs
+++ b/conductor/src/leaving.rs
@@ -66,15 +66,16 @@
     pub end_all_at: Option<Nanos>,
 }
 
-pub fn leaving(longest_abandon: Nanos, clients_resume: bool, another_left: bool) -> Leaving {
+/// `alone` where no other gateway seems to be there now.
+pub fn leaving(longest_abandon: Nanos, clients_resume: bool, alone: bool) -> Leaving {
     if !clients_resume {
         return Leaving { move_streams: None, serve_until: STILL_COMING, end_all_at: None };
     }
     let kill = longest_abandon.min(MOST) + KILL_AFTER;
     let before = |time: Nanos| kill.saturating_sub(time).max(STILL_COMING);
-    let move_streams = match another_left {
-        false => (STILL_COMING, before(MOVED_BEFORE)),
+    let move_streams = match alone {
         true => (before(MOVED_BEFORE), before(MOVED_LATE_BEFORE)),
+        false => (STILL_COMING, before(MOVED_BEFORE)),
     };
     Leaving {
         move_streams: Some(move_streams),
@@ -103,8 +104,8 @@
 
     #[test]
     fn streams_move_before_the_kill_where_clients_ask_for_the_rest() {
-        let times = |longest: Nanos, resume, another| {
-            let leaving = leaving(longest * MILLISECOND, resume, another);
+        let times = |longest: Nanos, resume, alone| {
+            let leaving = leaving(longest * MILLISECOND, resume, alone);
             let ms = |time: Nanos| time / MILLISECOND;
             let moved = leaving.move_streams.map(|(from, until)| (ms(from), ms(until)));
             (moved, ms(leaving.serve_until), leaving.end_all_at.map(ms))
--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -68,6 +68,7 @@
 }
 
 pub struct Passage<M> {
+    gateways: usize,
     conductor: Conductor,
     releases: Releases,
     arrivals: Arrivals,
@@ -82,6 +83,7 @@
     /// At most so many sequences are in hand.
     pub fn new(now: Nanos, deployment: Deployment, seed: u64, most: usize) -> Self {
         Passage {
+            gateways: deployment.gateways,
             releases: Releases::new(deployment.release_within),
             arrivals: Arrivals::default(),
             room: Room::new(now, most),
@@ -232,7 +234,8 @@
 
     /// How this gateway leaves that is told to stop now.
     pub fn leaving(&self, now: Nanos, longest_abandon: Nanos, clients_resume: bool) -> Leaving {
-        leaving(longest_abandon, clients_resume, self.arrivals.another_left(now, self.in_hand()))
+        let alone = self.gateways == 1 || self.arrivals.another_left(now, self.in_hand());
+        leaving(longest_abandon, clients_resume, alone)
     }
 
     /// Ends as many of the streams that run as that plan has end before `next`, for their clients to ask for the rest
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -179,6 +179,24 @@
     assert_eq!((out.contains(&over), conductor.in_hand(), conductor.holds(waits)), (true, 1, true));
 }
 
+#[test]
+fn the_newest_stream_is_moved_first_and_one_that_was_moved_before_last() {
+    let (mut conductor, mut out) = (conductor(), Vec::new());
+    for (id, after, resumed) in [(1, 0, false), (2, S, false), (3, 2 * S, true)] {
+        let now = START + after;
+        let new = NewSequence { resumed, abandon_at: now + 5 * S, ..sequence(SeqId(id), Relay::Passed) };
+        conductor.take(now, new, &mut out);
+        conductor.ended(now + MS, SeqId(id), 0, Ending::ReadDone { kept: 0.0 }, &mut out);
+        conductor.began(now + 2 * MS, SeqId(id), 1);
+    }
+    let moved = [1, 1, 1].map(|most| {
+        out.clear();
+        conductor.finish_streams(START + 3 * S, most, &mut out);
+        out.iter().find_map(|action| if let Action::Over { id, .. } = action { Some(id.0) } else { None })
+    });
+    assert_eq!((moved, conductor.streams()), ([Some(2), Some(1), Some(3)], 0));
+}
+
 #[test]
 fn idle_connections_are_given_up_before_their_servers_do_and_the_longest_idle_makes_room() {
     let mut idle: Connections<u8, u32> = Connections::bounded(5 * S, 3);
