The last attempt asks for the state that may still wait where a new read can't be paid any more

At fault: brain.rs, schedule, which leaves the state alone after any broken attempt, though a new read and write need two more. A write that broke while its request came has not fetched the state.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -247,8 +247,10 @@
         }
         // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong
         // once begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
+        // Where too few attempts are left for both, the last one may still find it.
         let wrong = |a: &Attempt| matches!(a.status, Status::Closed(Outcome::Error | Outcome::Reset));
-        let wrong = seq.attempts.last().is_some_and(wrong);
+        let anew = seq.attempts.len() + 2 <= self.most_attempts(seq);
+        let wrong = anew && seq.attempts.last().is_some_and(wrong);
         let state = seq.state.filter(|_| !wrong).filter(|(reader, since)| {
             let reader = self.servers.get(reader).map(|s| &s.listing);
             reader.is_some_and(|l| l.condition != Condition::Gone && l.since <= *since)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -437,3 +437,18 @@
     close(&mut brain, now, &mut seq, Outcome::ConnectFailed);
     assert_eq!(sent(brain.schedule(now, &mut seq)).0, reader.0 + 2, "full, and there");
 }
+
+#[test]
+fn where_no_attempts_are_left_for_a_new_read_and_write_the_last_one_asks_for_the_state_that_may_wait() {
+    let mut brain = brain(deployment(), &fleet());
+    let mut seq = sequence(1, 0, START);
+    read(&mut brain, START, &mut seq, 50 * MS);
+    let now = START + 50 * MS;
+    for (step, outcome) in [(Step::Write, Outcome::Reset), (Step::Read, Outcome::Reset)] {
+        sent(brain.schedule(now, &mut seq));
+        assert_eq!(seq.attempts.last().map(|a| a.step), Some(step));
+        close(&mut brain, now, &mut seq, outcome);
+    }
+    sent(brain.schedule(now, &mut seq));
+    assert_eq!((seq.attempts.last().map(|a| a.step), seq.attempts.len()), (Some(Step::Write), 4));
+}
