--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,9 +245,9 @@
         if now + RECHECK >= seq.abandon_at || self.spent(seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking for a state that went with its reader, or with a writer whose answer went wrong
-        // once begun: asked for in vain, it costs the attempt that a new read and write need. Its clock runs on.
-        // Where too few attempts are left for both, the last one may still find it.
+        // Guards against asking for a state that went with its reader, or with a writer whose answer went
+        // wrong once begun: asked for in vain, it costs the attempt that a new read and write need. Its clock
+        // runs on. Where too few attempts are left for both, the last one may still find it.
         let wrong = |a: &Attempt| matches!(a.status, Status::Closed(Outcome::Error | Outcome::Reset));
         let anew = seq.attempts.len() + 2 <= self.most_attempts(seq);
         let wrong = anew && seq.attempts.last().is_some_and(wrong);
@@ -294,8 +294,8 @@
         Settled::Schedule
     }
 
-    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking. Where
-    /// nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
+    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking.
+    /// Where nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         let left = seq.abandon_at.saturating_sub(now);
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
@@ -313,8 +313,8 @@
             Step::Move => all.map(|all| all.max(fellows.unwrap_or(0.0))),
             _ => fellows.or(all),
         };
-        // Time-outs make the usual time longer: where few answers are known, one server that hangs must not get
-        // all the time there is. An SLO's worth is left for the next attempt.
+        // Time-outs make the usual time longer: where few answers are known, one server that hangs must not
+        // get all the time there is. An SLO's worth is left for the next attempt.
         let last = attempt.step == Step::Read || seq.attempts.len() >= self.most_attempts(seq);
         let most = if last { left } else { left.saturating_sub(self.slo(seq)).max(left / 2) };
         usual.map_or(left / 2, |usual| (PATIENCE * usual.max(self.slo(seq) as f64 / 6.0)) as Nanos).min(most)
@@ -337,8 +337,8 @@
         }
     }
 
-    /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads counts
-    /// part of the prompt again, since that part of its states has to be moved once more.
+    /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads
+    /// counts part of the prompt again, since that part of its states has to be moved once more.
     fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
         if seq.attempts.len() + 2 > self.most_attempts(seq) {
             return None;
@@ -364,9 +364,10 @@
         least.map(|(_, server)| server.listing.server)
     }
 
-    /// How far each reader is from being this session's home, to which every gateway turns: a hash, by the part
-    /// of all reads it should get, own zone first as far as its readers go round. Guards against reading texts
-    /// anew when a gateway has restarted or a session comes through another one, and against skewed cells.
+    /// How far each reader is from being this session's home, to which every gateway turns: a hash, by the
+    /// part of all reads it should get, own zone first as far as its readers go round. Guards against reading
+    /// texts anew when a gateway has restarted or a session comes through another one, and against skewed
+    /// cells.
     fn homes(&self, seq: &Sequence) -> HashMap<ServerId, f64> {
         let key = seq.session.map_or(seq.id.0, |session| session.0);
         let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
@@ -425,9 +426,9 @@
         self.cells = cells;
     }
 
-    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions. A
-    /// state leaves a cell that is much fuller than another of the hall. And a cell that reads more than its
-    /// writers can take hands on the rest, by lot to where less is read, while their loads are not known.
+    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions.
+    /// A state leaves a cell that is much fuller than another of the hall. And a cell that reads more than
+    /// its writers can take hands on the rest, by lot to where less is read, while their loads are not known.
     fn pick_writer(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<(ServerId, Step)> {
         let chance = self.chance.rand_float();
         let home = &self.servers[&reader].listing;
@@ -514,8 +515,9 @@
         server.listing.condition == Condition::Ready && now >= server.paused_until && !self.slow(now, server)
     }
 
-    /// What is not ready comes last, and behind it what has just refused or broken a connection. A full or slow server
-    /// still answers: guards against turning thrice to one that is gone, which looks least loaded as its streams ended.
+    /// What is not ready comes last, and behind it what has just refused or broken a connection. A full or
+    /// slow server still answers: guards against turning thrice to one that is gone, which looks least loaded
+    /// as its streams ended.
     fn last(&self, now: Nanos, server: &Server, ready: bool) -> f64 {
         match ready {
             true => 0.0,
@@ -532,7 +534,8 @@
         own.is_some_and(|own| own > SLOW * usual) || server.silence(now) as f64 > SLOW * usual
     }
 
-    /// The high quantile of answer times that a role's servers have in the middle: the lower and higher of two.
+    /// The high quantile of answer times that a role's servers have in the middle: the lower and higher of
+    /// two.
     fn middle_times(&self, now: Nanos, role: Role) -> Option<(f64, f64)> {
         let fellows = self.servers.values().filter(|s| self.role(s) == role);
         let times = fellows.filter(|s| s.times.weight(now) >= EVIDENCE);
@@ -541,11 +544,12 @@
         Some((*high.get(high.len().saturating_sub(1) / 2)?, *high.get(high.len() / 2)?))
     }
 
-    /// How many further attempts one here is likely to need, by the share of attempts of the same traffic type
-    /// and tenant that failed here of late, as far as that kind fails more than others. Guards against servers
-    /// that fail, leave unanswered or turn away one kind of traffic and serve the rest, which go on to them. Each
-    /// attempt of this sequence that has failed here counts for one more, whatever else is known: against turning
-    /// again and again to a server that takes everything and answers nothing, while no time is known yet.
+    /// How many further attempts one here is likely to need, by the share of attempts of the same traffic
+    /// type and tenant that failed here of late, as far as that kind fails more than others. Guards against
+    /// servers that fail, leave unanswered or turn away one kind of traffic and serve the rest, which go on
+    /// to them. Each attempt of this sequence that has failed here counts for one more, whatever else is
+    /// known: against turning again and again to a server that takes everything and answers nothing, while no
+    /// time is known yet.
     fn doubt(&self, now: Nanos, server: &Server, seq: &Sequence) -> f64 {
         let stream = (seq.traffic, seq.tenant);
         let usual = self.failed.get(&stream).map_or(0.0, |all| all.read(now, 0.0));
@@ -591,7 +595,8 @@
         queued + seq.prompt_tokens - self.credit(server, seq, shared)
     }
 
-    /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is known.
+    /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is
+    /// known.
     fn read_wait(&self, now: Nanos, work: f64) -> f64 {
         self.read_time.read(now) * work / (self.read_tokens.read(now) + UNREAD * work).max(1.0)
     }
@@ -617,8 +622,8 @@
         (1.0 - 2.0 * (-own * (self.deployment.gateways - 1) as f64 / readers as f64).exp()).max(0.0)
     }
 
-    /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also holds
-    /// against lost servers and slow links; hurts when a short jam clears faster than it seems.
+    /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also
+    /// holds against lost servers and slow links; hurts when a short jam clears faster than it seems.
     fn overloaded(&self, now: Nanos, seq: &Sequence, server: ServerId, step: Step) -> bool {
         if seq.resumed {
             return false;
@@ -752,8 +757,9 @@
     }
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
-    /// carries of its admitted sequences stands for capacity; all gateways keep the same part. There is no floor,
-    /// and the first send waits for a part of the pause drawn by lot: over hundreds of gateways both add up.
+    /// carries of its admitted sequences stands for capacity; all gateways keep the same part. There is no
+    /// floor, and the first send waits for a part of the pause drawn by lot: over hundreds of gateways both
+    /// add up.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
         let reads = |s: &Server| self.role(s) == Role::Reader;
         let pool = self.servers.values().filter(|s| reads(s) == reads(server));
