--- a/rehearsal/tests/hard_cases.rs
+++ b/rehearsal/tests/hard_cases.rs
@@ -248,6 +248,8 @@
     // What the killed gateway had read stays at its reader until that drops it.
     let forgetful = |build: Build| Build { state_for: 2_000_000_000, ..quick(build) };
     case_with("killed", small(), "", forgetful, |mut world| async move {
+        let elsewhere = settings_text("gw-1", 1, "127.0.0.1:0", "");
+        let spare = Running::start(&world.executor, &world.folder, &elsewhere).await.unwrap();
         let burst: Vec<_> = (0..20)
             .map(|_| {
                 let way = world.way();
@@ -258,14 +260,12 @@
         let World { gateway, fleet, folder, executor, .. } = &mut world;
         let (address, grpc) = (gateway.at.chat.to_string(), gateway.at.grpc);
         let text = settings_text("gw-1", 1, &address, &format!("listen.grpc = \"{grpc}\""));
+        std::mem::replace(gateway, spare).kill(&fleet.record).await;
         // While it is down one writer goes, and the inventory with it: the last list is all there is.
         fleet.kill("writer-1-1");
         std::fs::remove_file(folder.join("boxes.csv")).unwrap();
         let fresh = Running::start(executor, folder, &settings_text("other", 1, "127.0.0.1:0", "")).await;
         assert!(fresh.is_err(), "a gateway without any list must not start");
-        let spare =
-            Running::start(executor, folder, &settings_text("gw-1", 1, "127.0.0.1:0", "")).await.unwrap();
-        std::mem::replace(gateway, spare).kill(&fleet.record).await;
         for seen in burst {
             assert_eq!(seen.await.finished, FinalSeen::Nothing);
         }
