A connection that never came up does not restart the time of a state that waits

Two writers that were cut off took a second each for their connections (pace::connect_within), and Brain::settle started the state's time anew after each, as if it had been out.

Change: settle leaves the state's time as it is where nothing left; a connection may take half of what is left of it; past half the time to release the sequence is given up, with its release, instead of sent on. Test: passed.rs, connections_that_never_come_up_do_not_stop_the_time_of_a_state_that_waits (fails before: 1 s for each writer).

--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -403,7 +403,9 @@
             Schedule::Send(server) => {
                 let limit = self.brain.wait(now, &held.seq).max(1);
                 self.counts.attempts += 1;
-                if let Some(dispatch) = dispatch(&self.types, held, server, limit) {
+                let held_for = self.brain.held_until(&held.seq).map(|until| until.saturating_sub(now));
+                let connect_within = pace::connect_within(limit, held_for);
+                if let Some(dispatch) = dispatch(&self.types, held, server, limit, connect_within) {
                     out.push(Action::Send(dispatch));
                 }
                 self.arm(id, now.saturating_add(limit));
@@ -574,7 +576,13 @@
     }
 }
 
-fn dispatch(types: &[TrafficType], held: &Held, server: ServerId, limit: Nanos) -> Option<Dispatch> {
+fn dispatch(
+    types: &[TrafficType],
+    held: &Held,
+    server: ServerId,
+    limit: Nanos,
+    connect_within: Nanos,
+) -> Option<Dispatch> {
     let seq = &held.seq;
     let attempt = seq.attempts.len().checked_sub(1)?;
     let step = seq.attempts[attempt].step;
@@ -587,7 +595,7 @@
         reader: seq.state.map(|(reader, _)| reader).filter(|_| writes),
         limit,
         done: held.done,
-        connect_within: pace::connect_within(limit),
+        connect_within,
         fresh: step != Step::Read && types[seq.traffic.0].effect == Effect::OnceOnly,
     })
 }
--- a/conductor/src/pace.rs
+++ b/conductor/src/pace.rs
@@ -67,7 +67,10 @@
 }
 
 /// How long a connection may take to be made, of an attempt's time. A connection that is not made in time proves
-/// that nothing ran, which an attempt's own time-out does not; a whole lost attempt would tell less, later.
-pub fn connect_within(limit: Nanos) -> Nanos {
-    (limit / CONNECT_PART).clamp(CONNECT_LEAST.min(limit), CONNECT_MOST)
+/// that nothing ran, which an attempt's own time-out does not; a whole lost attempt would tell less, later. While it
+/// is made, the time of a state that waits at a reader runs on: it may take a part of what is left of that, so that
+/// another server can be tried after it, and the state be let go.
+pub fn connect_within(limit: Nanos, held_for: Option<Nanos>) -> Nanos {
+    let time = limit.min(held_for.unwrap_or(Nanos::MAX));
+    (time / CONNECT_PART).clamp(CONNECT_LEAST.min(limit), CONNECT_MOST)
 }
--- a/conductor/src/policy.rs
+++ b/conductor/src/policy.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    pub fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
+        match self {
+            Policy::Decisions(brain) => brain.held_until(seq),
+            Policy::Baseline(baseline) => baseline.held_until(seq),
+        }
+    }
+
     pub fn began(&mut self, now: Nanos, seq: &mut Sequence, n: usize) {
         match self {
             Policy::Decisions(brain) => brain.began(now, seq, n),
@@ -129,8 +136,8 @@
                 (server, if reads { Step::Read } else { Step::Whole })
             }),
         };
-        let held_until = |since: Nanos| since + self.deployment.release_within / 2;
-        match picked {
+        let pinned = self.held_until(seq).is_some_and(|until| now + RECHECK >= until);
+        match picked.filter(|_| !pinned) {
             Some((server, step)) => {
                 let tokens = seq.prompt_tokens;
                 seq.admitted = true;
@@ -144,11 +151,15 @@
                 });
                 Schedule::Send(server)
             }
-            None if seq.state.is_none_or(|(_, since)| now + RECHECK < held_until(since)) => Schedule::NotYet,
+            None if !pinned => Schedule::NotYet,
             None => Self::give_up(seq, true),
         }
     }
 
+    fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
+        seq.state.map(|(_, since)| since.saturating_add(self.deployment.release_within / 2))
+    }
+
     fn give_up(seq: &mut Sequence, harmless: bool) -> Schedule {
         let release = !seq.attempts.is_empty();
         (seq.ended, seq.state) = (true, None);
@@ -171,6 +182,7 @@
         match got {
             Outcome::ReadDone { .. } => seq.state = Some((server, now)),
             Outcome::NoState => seq.state = None,
+            Outcome::ConnectFailed | Outcome::NeverSent => {}
             _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
         }
         Settled::Schedule
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -159,7 +159,8 @@
     assert_ne!(intake::fingerprint("m", "p", 1), intake::fingerprint("m", "p", 2));
     assert_eq!(pace::give_up_at(0, 4 * S), 3_950 * MS);
     assert_eq!(pace::give_up_at(0, 40 * MS), 30 * MS);
-    assert!(pace::connect_within(10 * MS) <= 10 * MS && pace::connect_within(60 * S) == S);
+    assert!(pace::connect_within(10 * MS, None) <= 10 * MS && pace::connect_within(60 * S, None) == S);
+    assert_eq!(pace::connect_within(5 * S, Some(250 * MS)), 125 * MS, "another is tried after it");
 }
 
 #[test]
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -234,6 +234,32 @@
     assert_eq!(passage.in_hand(), 0);
 }
 
+/// A reader, 1, and eight writers.
+fn with_writers() -> Passage<&'static str> {
+    let mut passage = passage(9);
+    let entries: Vec<_> = (1..10).map(|n| (entry(n, usize::from(n > 1)), at(n as u16))).collect();
+    passage.listed(START, ListScope::Whole, &entries);
+    passage
+}
+
+#[test]
+fn connections_that_never_come_up_do_not_stop_the_time_of_a_state_that_waits() {
+    let (mut passage, mut out, id) = (with_writers(), Vec::new(), SeqId(5));
+    let read = taken(&mut passage, id);
+    let held = START + 100 * MS;
+    passage.ended(held, &read, Ending::ReadDone { kept: 0.0 }, &mut out);
+    let (mut now, mut tried) = (held, 0);
+    // Each writer is cut off: its connection is given up when its time is over.
+    while let_go(&out).is_empty() {
+        let write = sent(&out);
+        (now, tried) = (now + write.connect_within, tried + 1);
+        out.clear();
+        passage.ended(now, &write, Ending::NotConnected, &mut out);
+    }
+    assert!(tried >= 2 && now <= held + 300 * MS, "{tried} writers, let go after {} ms", (now - held) / MS);
+    assert_eq!(passage.in_hand(), 0);
+}
+
 #[test]
 fn an_id_in_hand_and_more_than_there_is_room_for_are_refused_and_leave_nothing_behind() {
     let (mut passage, mut out) = (passage(1), Vec::new());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -242,7 +242,7 @@
         if let Some(TenantId(tenant)) = seq.tenant.filter(|_| first && seq.arrived == now) {
             self.tenants[tenant].add(now, 1.0);
         }
-        if now + RECHECK >= seq.abandon_at || self.spent(seq) {
+        if now + RECHECK >= seq.abandon_at || self.spent(seq) || self.pinned(now, seq) {
             return self.give_up(now, seq);
         }
         // Guards against asking for a state that went with its reader, or with a writer whose answer went
@@ -289,6 +289,8 @@
         match got {
             Outcome::ReadDone { .. } => seq.state = Some((attempt.server, now)),
             Outcome::NoState => seq.state = None,
+            // What never left was not out: the time of a state that waits runs on.
+            Outcome::ConnectFailed | Outcome::NeverSent => {}
             _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
         }
         Settled::Schedule
@@ -701,9 +703,16 @@
     /// A sequence that nothing can take is held for part of its SLO, its state within the time to release.
     fn may_hold(&self, now: Nanos, seq: &Sequence) -> bool {
         let until = seq.arrived.saturating_add((self.slo(seq) as f64 * HOLD) as Nanos);
-        let latest = |since: Nanos| since + self.deployment.release_within / 2;
-        let pinned = seq.state.is_some_and(|(_, since)| now + 2 * RECHECK >= latest(since));
-        now < until && !pinned
+        now < until && !self.pinned(now + RECHECK, seq)
+    }
+
+    /// Until when a state that waits may be sent on: half the time to release, the other is for the release.
+    pub fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
+        seq.state.map(|(_, since)| since.saturating_add(self.deployment.release_within / 2))
+    }
+
+    fn pinned(&self, now: Nanos, seq: &Sequence) -> bool {
+        self.held_until(seq).is_some_and(|until| now + RECHECK >= until)
     }
 
     /// The final answer: a rejection where a retry is provably harmless, an abort elsewhere.
