Held states have one clock, which only attempts that reached their server start anew

Change: Sequence::held_since, kept by the module and fed by Conductor::reached; a used connection proves itself by a second one while a state waits; releases are taken back while an attempt is out, go by way of the servers heard last, and take places of new sequences past eight. Not tried: whether cut-off writes on used connections were among the breaks seen.

--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -55,6 +55,9 @@
     pub done: u32,
     /// Time for its connection, where it needs a new one.
     pub connect_within: Nanos,
+    /// Something is held while it is on its way: a used connection must prove in the time for a new one that its
+    /// server is there.
+    pub held: bool,
     /// Send on a new connection: a pooled one that closes under it would leave once-only work unproven.
     pub fresh: bool,
 }
@@ -211,6 +214,7 @@
                 abandon_at: new.abandon_at,
                 attempts: Vec::new(),
                 state: None,
+                held_since: None,
                 admitted: false,
                 ended: false,
             },
@@ -223,6 +227,15 @@
         }
     }
 
+    /// Its server has an attempt: its last byte went out on a connection that has just come up, or that still proves
+    /// to lead there. Endings that are answers prove it by themselves.
+    pub fn reached(&mut self, id: SeqId, attempt: usize) {
+        let held = self.held.get_mut(&id);
+        if let Some(attempt) = held.and_then(|held| held.seq.attempts.get_mut(attempt)) {
+            attempt.reached = true;
+        }
+    }
+
     /// The first token of an attempt has come.
     pub fn began(&mut self, now: Nanos, id: SeqId, attempt: usize) {
         let Some(held) = self.held.get_mut(&id) else { return };
@@ -260,7 +273,8 @@
         let outcome = ending.outcome(began);
         let broke = began && outcome != Outcome::Generated && held.relay != Relay::Whole;
         let last = outcome == Outcome::Generated || (broke && !self.goes_on(now, id));
-        self.closed(now, id, attempt, outcome, last, out);
+        let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
+        self.settle(now, id, attempt, outcome, last, reason, out);
     }
 
     /// Makes a stream that broke ready to go on after its last token; false where it ends here.
@@ -290,6 +304,8 @@
         out: &mut Vec<Action>,
     ) {
         let reason = (outcome != Outcome::Generated).then_some(Reason::Broken);
+        // Whoever knows an outcome knows that it was sent; those that prove the opposite say so.
+        self.reached(id, attempt);
         self.settle(now, id, attempt, outcome, last, reason, out);
     }
 
@@ -596,6 +612,7 @@
         limit,
         done: held.done,
         connect_within,
+        held: seq.held_since.is_some(),
         fresh: step != Step::Read && types[seq.traffic.0].effect == Effect::OnceOnly,
     })
 }
--- a/conductor/src/desk.rs
+++ b/conductor/src/desk.rs
@@ -437,7 +437,11 @@
         event(&mut self.conductor, &mut actions);
         for action in actions {
             match action {
-                Action::Send(dispatch) => self.send(dispatch, out),
+                Action::Send(dispatch) => {
+                    // Engines' clients connect or say that they could not: what is not said to be unsent was out.
+                    self.conductor.reached(dispatch.id, dispatch.attempt);
+                    self.send(dispatch, out);
+                }
                 Action::Cancel { id, attempt, server, step } => {
                     out.push(Order::Cancel { id, attempt });
                     if step == Step::Read {
@@ -530,9 +534,8 @@
     }
 
     fn owe(&mut self, now: Nanos, release: Release, state: State, out: &mut Vec<Order<P>>) {
-        if self.releases.owe(now, &release, state) {
-            out.push(Order::LetGo(release));
-        }
+        self.releases.owe(now, &release, state);
+        out.push(Order::LetGo(release));
     }
 
     /// A ticket goes when its front has left and the conductor holds nothing of it.
--- a/conductor/src/leases.rs
+++ b/conductor/src/leases.rs
@@ -31,6 +31,13 @@
         self.at.retain(|(reader, state)| *state != State::Held || Some(*reader) != from);
     }
 
+    /// What was to be let go of there is not for now: it may be there.
+    pub fn owed_again(&mut self, reader: ServerId) {
+        if self.at.iter().all(|(at, _)| *at != reader) {
+            self.at.push((reader, State::CutOff));
+        }
+    }
+
     /// What reads that were broken off may have left, to be let go while no attempt is out.
     pub fn cut_off(&mut self) -> Vec<(ServerId, State)> {
         let left = self.at.iter().copied().filter(|(_, state)| *state == State::CutOff).collect();
--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -9,7 +9,7 @@
 use crate::leaving::{Arrivals, Leaving, leaving};
 use crate::limits::{Room, values};
 use crate::proof::Ending;
-use crate::releases::{Release, Releases, State, Word};
+use crate::releases::{PLACES, Release, Releases, State, Word};
 use crate::{Action, Conductor, Counts, Dispatch, NewSequence, Reason};
 use petrelshore::interface::*;
 use std::collections::{BTreeMap, HashMap};
@@ -56,6 +56,8 @@
     address: SocketAddr,
     condition: Condition,
     since: Nanos,
+    /// When it last answered anything.
+    heard: Nanos,
 }
 
 struct Ticket<M> {
@@ -73,6 +75,7 @@
     releases: Releases,
     arrivals: Arrivals,
     room: Room,
+    most: usize,
     values: Vec<f64>,
     longest_retry_after: Option<Nanos>,
     servers: BTreeMap<ServerId, Reached>,
@@ -87,6 +90,7 @@
             releases: Releases::new(deployment.release_within),
             arrivals: Arrivals::default(),
             room: Room::new(now, most),
+            most,
             values: values(&deployment.types),
             longest_retry_after: deployment.longest_retry_after,
             conductor: Conductor::new(now, deployment, seed),
@@ -107,6 +111,12 @@
         if self.tickets.contains_key(&id) || self.conductor.holds(id) {
             return Err(Refusal::IdInHand);
         }
+        // What is owed needs places as well, beyond those that are kept for it.
+        let owed = self.releases.owed().saturating_sub(PLACES);
+        if self.tickets.len() + owed >= self.most {
+            let retry_after = self.longest_retry_after.map(|longest| self.room.come_back(now, Some(longest)));
+            return Err(Refusal::Full { retry_after });
+        }
         // A front hides whose client is whose: each sequence is a client of its own here.
         if self.room.take(now, id.0, self.values[new.traffic.0]).is_err() {
             let longest = self.longest_retry_after;
@@ -125,14 +135,17 @@
 
     /// The list of servers, or what has changed in it.
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[(Listing, SocketAddr)]) {
-        if scope != ListScope::Changes {
-            self.servers.clear();
-        }
+        let before = match scope {
+            ListScope::Changes => BTreeMap::new(),
+            _ => std::mem::take(&mut self.servers),
+        };
         for (Listing { server, condition, since, .. }, address) in entries {
-            let reached = Reached { address: *address, condition: *condition, since: *since };
-            let known = self.servers.insert(*server, reached);
+            let known = self.servers.get(server).or_else(|| before.get(server));
+            let (heard, started) = known.map_or((0, *since), |known| (known.heard, known.since));
+            let reached = Reached { address: *address, condition: *condition, since: *since, heard };
+            self.servers.insert(*server, reached);
             // What started anew holds nothing from before.
-            if known.is_some_and(|known| known.since < *since) {
+            if started < *since {
                 self.releases.started_anew(*server);
             }
         }
@@ -145,9 +158,15 @@
         self.conductor.reported(now, server, report);
     }
 
+    /// Its server has an attempt, as far as its socket proves.
+    pub fn reached(&mut self, id: SeqId, attempt: usize) {
+        self.conductor.reached(id, attempt);
+    }
+
     /// The first event has come: the attempt is the client's, and its prompt is needed no more. Its writer has fetched
     /// the state that it was sent for; what else may be held nobody will take.
     pub fn began(&mut self, now: Nanos, dispatch: &Dispatch, out: &mut Vec<Order<M>>) {
+        self.heard(now, dispatch.server);
         let left = self.tickets.get_mut(&dispatch.id).map(|ticket| {
             ticket.message = None;
             ticket.leases.state_gone(dispatch.reader);
@@ -170,6 +189,9 @@
     /// An attempt has ended, as its socket showed.
     pub fn ended(&mut self, now: Nanos, dispatch: &Dispatch, ending: Ending, out: &mut Vec<Order<M>>) {
         let Dispatch { id, attempt, server, step, reader, .. } = *dispatch;
+        if ending.answered() {
+            self.heard(now, server);
+        }
         if let Some(ticket) = self.tickets.get_mut(&id) {
             ticket.out.take_if(|out| *out == attempt);
             match (step, ending) {
@@ -188,14 +210,18 @@
         self.settle(now, id, out);
     }
 
-    /// A reader was told to let go of a state; whether it has answered.
-    pub fn told(&mut self, now: Nanos, release: &Release, answered: bool) {
-        match self.servers.contains_key(&release.server) {
-            _ if answered => self.releases.told(now, release, Word::Answered),
-            // Not listed any more: it was told by way of another server, and that is all that can be done.
-            false => self.releases.told(now, release, Word::Gone),
-            // One that could not be reached in time may hold it all the same.
-            true => {}
+    /// A reader was told to let go of a state, by itself or by way of another server; which one has answered. Nobody
+    /// has where all are lost: it is told again, listed or not, since it may hold the state all the same.
+    pub fn told(&mut self, now: Nanos, release: &Release, answered: Option<ServerId>) {
+        if let Some(server) = answered {
+            self.heard(now, server);
+            self.releases.told(now, release, Word::Answered);
+        }
+    }
+
+    fn heard(&mut self, now: Nanos, server: ServerId) {
+        if let Some(reached) = self.servers.get_mut(&server) {
+            reached.heard = now;
         }
     }
 
@@ -209,11 +235,12 @@
         self.servers.get(&server).map(|reached| reached.address)
     }
 
-    /// The address of the server by way of which a reader that can't be had is told.
-    pub fn by_way_of(&self, release: &Release) -> Option<SocketAddr> {
+    /// The servers by way of which a reader that can't be had is told, one after the other.
+    pub fn by_way_of(&self, release: &Release) -> Vec<(ServerId, SocketAddr)> {
         let ready = self.servers.iter().filter(|(_, reached)| reached.condition == Condition::Ready);
-        let ready: Vec<ServerId> = ready.map(|(id, _)| *id).collect();
-        self.address(self.releases.by_way_of(release, &ready)?)
+        let ready: Vec<_> = ready.map(|(id, reached)| (reached.heard, *id)).collect();
+        let others = self.releases.by_way_of(release, &ready).into_iter();
+        others.filter_map(|id| Some((id, self.address(id)?))).collect()
     }
 
     /// Whether a model server is listed at that address.
@@ -325,6 +352,9 @@
         let to = self.address(dispatch.server);
         let Some(ticket) = self.tickets.get_mut(&dispatch.id) else { return };
         ticket.out = Some(dispatch.attempt);
+        // A word on its way would take the state that this attempt is to leave or to fetch.
+        let taken_back = self.releases.take_back(&request(dispatch.id));
+        taken_back.into_iter().for_each(|reader| ticket.leases.owed_again(reader));
         out.push(Order::Send { dispatch, to, message: ticket.message.clone() });
     }
 
@@ -355,10 +385,14 @@
 
     fn let_go(&mut self, now: Nanos, id: SeqId, left: Vec<(ServerId, State)>, out: &mut Vec<Order<M>>) {
         for (server, state) in left {
-            let release = Release { server, request: format!("{:016x}", id.0) };
-            if self.releases.owe(now, &release, state) {
-                out.push(Order::LetGo(release));
-            }
+            let release = Release { server, request: request(id) };
+            self.releases.owe(now, &release, state);
+            out.push(Order::LetGo(release));
         }
     }
 }
+
+/// A request's name on the platform's wire.
+fn request(id: SeqId) -> String {
+    format!("{:016x}", id.0)
+}
--- a/conductor/src/policy.rs
+++ b/conductor/src/policy.rs
@@ -4,8 +4,8 @@
 //! knows nothing of load, cells, health or cold servers. It is for rehearsals: nothing in a settings file names it.
 
 use oorandom::Rand64;
-use petrelshore::Brain;
 use petrelshore::interface::*;
+use petrelshore::{Brain, held_since};
 use std::collections::BTreeMap;
 
 /// Which policy a conductor asks.
@@ -82,7 +82,7 @@
             Policy::Decisions(brain) => brain.began(now, seq, n),
             Policy::Baseline(_) => {
                 if let Some(attempt) = seq.attempts.get_mut(n) {
-                    (attempt.status, seq.state) = (Status::Streaming, None);
+                    (attempt.status, seq.state, seq.held_since) = (Status::Streaming, None, None);
                 }
             }
         }
@@ -146,6 +146,7 @@
                     sent: now,
                     step,
                     status: Status::Out,
+                    reached: false,
                     tokens,
                     credit: 0.0,
                 });
@@ -157,12 +158,12 @@
     }
 
     fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
-        seq.state.map(|(_, since)| since.saturating_add(self.deployment.release_within / 2))
+        seq.held_since.map(|since| since.saturating_add(self.deployment.release_within / 2))
     }
 
     fn give_up(seq: &mut Sequence, harmless: bool) -> Schedule {
         let release = !seq.attempts.is_empty();
-        (seq.ended, seq.state) = (true, None);
+        (seq.ended, seq.state, seq.held_since) = (true, None, None);
         match harmless {
             true => Schedule::Rejected { retry_after: None, release },
             false => Schedule::Aborted { release },
@@ -174,7 +175,7 @@
             return Settled::Wait;
         };
         attempt.status = Status::Closed(got);
-        let server = attempt.server;
+        let (server, attempt) = (attempt.server, attempt.clone());
         if last || seq.ended {
             seq.ended = true;
             return Settled::Ended { release: got != Outcome::Generated };
@@ -182,9 +183,9 @@
         match got {
             Outcome::ReadDone { .. } => seq.state = Some((server, now)),
             Outcome::NoState => seq.state = None,
-            Outcome::ConnectFailed | Outcome::NeverSent => {}
-            _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
+            _ => {}
         }
+        seq.held_since = held_since(now, seq, &attempt, got);
         Settled::Schedule
     }
 
--- a/conductor/src/proof.rs
+++ b/conductor/src/proof.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Whether its server said something.
+    pub fn answered(self) -> bool {
+        !matches!(
+            self,
+            Ending::NotConnected | Ending::HandedBack | Ending::Reset | Ending::TimedOut | Ending::Cancelled
+        )
+    }
+
     /// Whether the attempt provably never ran.
     pub fn proves_unrun(self) -> bool {
         match self {
--- a/conductor/src/releases.rs
+++ b/conductor/src/releases.rs
@@ -6,9 +6,13 @@
 //!
 //! A read that was cut off may still reach its reader after the release did: the two ride on different connections.
 //! Its reader then answers that it holds nothing, and holds a state a moment later. So for such a read an answer
-//! settles nothing until the read can no longer be on its way.
+//! settles nothing until the read can no longer be on its way, and the word is repeated often enough for the rule.
+//!
+//! A word lets go of all that is held for its request. So while a sequence reads anew or writes, nothing is said for
+//! it: what is owed is taken back, and owed again once nothing is out.
 
 use petrelshore::interface::{Nanos, ServerId};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The first wait for an answer, as a part of the time that the rule allows; each next one is twice as long.
@@ -19,6 +23,11 @@
 /// More than this are not remembered: the oldest is dropped, and counted.
 const MOST: usize = 10_000;
 
+/// A word that its reader does not take goes by way of so many others, one after the other, until one answers.
+const OTHERS: usize = 3;
+/// Connections that are kept for telling them, beyond one for each sequence in hand.
+pub const PLACES: usize = 8;
+
 /// A read that was cut off may come to its reader for this long after.
 const ON_ITS_WAY: Nanos = 2_000_000_000;
 
@@ -52,6 +61,7 @@
     settles_from: Nanos,
     next: Nanos,
     wait: Nanos,
+    tries: usize,
 }
 
 /// All that this gateway owes.
@@ -68,11 +78,10 @@
         Releases { within, owed: BTreeMap::new(), due: BTreeSet::new(), lost: 0 }
     }
 
-    /// A state is to be let go of: tell its reader now. False where that is owed already.
-    pub fn owe(&mut self, now: Nanos, release: &Release, state: State) -> bool {
-        if self.owed.contains_key(release) {
-            return false;
-        }
+    /// A state is to be let go of: tell its reader now, whatever it was told before: a second read may have left
+    /// another one there.
+    pub fn owe(&mut self, now: Nanos, release: &Release, state: State) {
+        self.settled(release);
         if self.owed.len() >= MOST {
             self.drop_oldest();
         }
@@ -82,8 +91,15 @@
             State::CutOff => now.saturating_add(ON_ITS_WAY),
         };
         self.due.insert((now + wait, release.clone()));
-        self.owed.insert(release.clone(), Owed { since: now, settles_from, next: now + wait, wait });
-        true
+        self.owed
+            .insert(release.clone(), Owed { since: now, settles_from, next: now + wait, wait, tries: 0 });
+    }
+
+    /// Takes back what is owed for a request: the readers that may still hold something.
+    pub fn take_back(&mut self, request: &str) -> Vec<ServerId> {
+        let owed: Vec<Release> = self.owed.keys().filter(|owed| owed.request == request).cloned().collect();
+        owed.iter().for_each(|release| self.settled(release));
+        owed.into_iter().map(|release| release.server).collect()
     }
 
     /// Its reader has answered, or provably runs no more.
@@ -114,14 +130,15 @@
         (self.within / FIRST).max(1)
     }
 
-    /// By way of whom else a reader that can't be had is told, of the servers that should be there: another one with
-    /// each try, since that one may be lost too.
-    pub fn by_way_of(&self, release: &Release, ready: &[ServerId]) -> Option<ServerId> {
-        let others: Vec<ServerId> = ready.iter().copied().filter(|id| *id != release.server).collect();
-        let first = self.owed.get(release).map_or(self.within, |owed| owed.wait);
-        let tries = (first / self.answer_within()).max(1).ilog2() as usize;
-        let at = (release.server.0 as usize).wrapping_add(tries) % others.len().max(1);
-        others.get(at).copied()
+    /// By way of whom else a reader that can't be had is told: of the servers that should be there, given with when
+    /// they were last heard of, the ones heard last, others with each try, since those may be lost too.
+    pub fn by_way_of(&self, release: &Release, ready: &[(Nanos, ServerId)]) -> Vec<ServerId> {
+        let mut others: Vec<_> = ready.iter().filter(|(_, id)| *id != release.server).copied().collect();
+        others.sort_unstable_by_key(|(heard, id)| (Reverse(*heard), *id));
+        let tries = self.owed.get(release).map_or(0, |owed| owed.tries);
+        let from = tries.saturating_mul(OTHERS) % others.len().max(1);
+        others.rotate_left(from);
+        others.into_iter().take(OTHERS).map(|(_, id)| id).collect()
     }
 
     pub fn next_due(&self) -> Option<Nanos> {
@@ -139,7 +156,10 @@
                 self.lost += 1;
                 continue;
             }
-            owed.wait = (owed.wait * 2).min(LONGEST);
+            // A read that was cut off may come at any time yet, and its state has the rule's time from then on.
+            let longest = if now < owed.settles_from { self.within / 2 } else { LONGEST };
+            owed.wait = (owed.wait * 2).min(longest);
+            owed.tries += 1;
             owed.next = now + owed.wait;
             self.due.insert((owed.next, release.clone()));
             again.push(release);
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -14,6 +14,7 @@
 use petrelshore_platform_terms::load;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
     /// How long the gateway will wait.
     pub limit: Nanos,
     pub connect_within: Duration,
+    /// Something is held for it meanwhile: a used connection must prove in the time for a new one that its server is
+    /// there.
+    pub held: bool,
     /// Never on a connection that was used before.
     pub fresh: bool,
 }
@@ -67,9 +71,9 @@
         Client(Rc::new(Shared { clock, idle, places: Rc::new(()), most, fields }))
     }
 
-    /// Has a prompt read; how many of its tokens had been kept.
-    pub async fn read(&self, call: &Call) -> Heard<f64> {
-        let (head, mut body, mut line) = match self.ask(call).await {
+    /// Has a prompt read; how many of its tokens had been kept. `reached` is called once its server provably has it.
+    pub async fn read(&self, call: &Call, reached: &dyn Fn()) -> Heard<f64> {
+        let (head, mut body, mut line) = match self.ask(call, reached).await {
             Ok(answered) => answered,
             Err(ending) => return Heard { result: Err(ending), load: None },
         };
@@ -87,9 +91,9 @@
         Heard { result: result.await, load }
     }
 
-    /// Has an answer written.
-    pub async fn write(&self, call: &Call) -> Heard<Stream> {
-        let (head, mut body, mut line) = match self.ask(call).await {
+    /// Has an answer written. `reached` is called once its server provably has the request.
+    pub async fn write(&self, call: &Call, reached: &dyn Fn()) -> Heard<Stream> {
+        let (head, mut body, mut line) = match self.ask(call, reached).await {
             Ok(answered) => answered,
             Err(ending) => return Heard { result: Err(ending), load: None },
         };
@@ -108,7 +112,16 @@
     pub async fn release(&self, to: SocketAddr, id: &str, within: Duration) -> Result<(), Ending> {
         let message = format!("DELETE /kv/leases/{id} HTTP/1.1\r\nHost: {to}\r\n\r\n");
         let told = async {
-            let (head, mut body, mut line) = self.exchange(to, message.as_bytes(), within, false).await?;
+            let way = Way { to, connect_within: within, held: false, fresh: false };
+            let answered = match self.exchange(&way, message.as_bytes(), &|| {}).await {
+                // A used connection broke under it. It may be told twice.
+                Err(Ending::Reset) => {
+                    let way = Way { fresh: true, ..way };
+                    self.exchange(&way, message.as_bytes(), &|| {}).await
+                }
+                answered => answered,
+            };
+            let (head, mut body, mut line) = answered?;
             whole(&mut line, &mut body).await?;
             self.0.keep(to, line, &head);
             if head.status == 204 { Ok(()) } else { Err(Ending::Refused { status: head.status }) }
@@ -130,7 +143,7 @@
         (Rc::strong_count(&self.0.places) - 1, self.0.idle.borrow().idle())
     }
 
-    async fn ask(&self, call: &Call) -> Result<(AnswerHead, Body, Line), Ending> {
+    async fn ask(&self, call: &Call, reached: &dyn Fn()) -> Result<Answered, Ending> {
         let target = std::str::from_utf8(&call.target).map_err(|_| Ending::HandedBack)?;
         let (to, id, length) = (call.to, &call.id, call.body.len());
         let wait = call.limit / 1_000_000;
@@ -140,22 +153,21 @@
         )
         .into_bytes();
         message.extend_from_slice(&call.body);
-        self.exchange(to, &message, call.connect_within, call.fresh).await
+        let Call { connect_within, held, fresh, .. } = *call;
+        self.exchange(&Way { to, connect_within, held, fresh }, &message, reached).await
     }
 
     /// Sends one request. Where a connection breaks before the last byte is written, nothing has run: if it had been
     /// used before, a new one carries the request.
-    async fn exchange(
-        &self,
-        to: SocketAddr,
-        message: &[u8],
-        connect_within: Duration,
-        fresh: bool,
-    ) -> Result<(AnswerHead, Body, Line), Ending> {
+    async fn exchange(&self, way: &Way, message: &[u8], reached: &dyn Fn()) -> Result<Answered, Ending> {
+        let Way { to, connect_within, held, fresh } = *way;
         let pooled = if fresh { None } else { self.0.pooled(to) };
         if let Some((line, waited)) = pooled {
             if line.wire.write(message).await.is_ok() {
-                let answered = answered(line).await;
+                let answered = match held {
+                    true => self.proven(way, answered(line), reached).await,
+                    false => answered(line).await,
+                };
                 let now = self.0.clock.now();
                 match answered {
                     Err(Ending::Reset) => self.0.idle.borrow_mut().broke(now, to, waited),
@@ -168,10 +180,52 @@
         }
         let line = self.0.connect(to, connect_within).await.ok_or(Ending::NotConnected)?;
         line.wire.write(message).await.map_err(|_| Ending::NotConnected)?;
+        reached();
         answered(line).await
     }
+
+    /// Waits for an answer on a used connection, which may lead to a machine that has gone silent: what is written to
+    /// it then never arrives, and nothing tells. So where no answer comes soon, another connection has to come up as
+    /// a proof that the machine is there; where none does, the request counts as broken off. A slow server pays for it
+    /// with one handshake, and the connection serves the next exchange.
+    async fn proven(
+        &self,
+        way: &Way,
+        answer: impl Future<Output = Result<Answered, Ending>>,
+        reached: &dyn Fn(),
+    ) -> Result<Answered, Ending> {
+        let mut answer = pin!(answer);
+        let soon = way.connect_within / 2;
+        let proof = async {
+            Timer::after(soon).await;
+            Err(self.0.connect(way.to, soon).await)
+        };
+        match future::or(async { Ok(answer.as_mut().await) }, proof).await {
+            Ok(answered) => answered,
+            Err(None) => {
+                self.0.idle.borrow_mut().forget(|server| *server == way.to);
+                Err(Ending::Reset)
+            }
+            Err(Some(line)) => {
+                reached();
+                self.0.idle.borrow_mut().keep(self.0.clock.now(), way.to, line);
+                answer.await
+            }
+        }
+    }
 }
 
+/// How a request gets to its server.
+#[derive(Clone, Copy)]
+struct Way {
+    to: SocketAddr,
+    connect_within: Duration,
+    held: bool,
+    fresh: bool,
+}
+
+type Answered = (AnswerHead, Body, Line);
+
 impl Shared {
     fn pooled(&self, to: SocketAddr) -> Option<(Line, Nanos)> {
         self.idle.borrow_mut().take(self.clock.now(), to, |line| line.wire.quiet())
@@ -199,7 +253,7 @@
     }
 }
 
-async fn answered(mut line: Line) -> Result<(AnswerHead, Body, Line), Ending> {
+async fn answered(mut line: Line) -> Result<Answered, Ending> {
     for _ in 0..INTERIM {
         let head = line.wire.answer().await.map_err(ending)?;
         match head.status {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -289,10 +289,9 @@
         match got {
             Outcome::ReadDone { .. } => seq.state = Some((attempt.server, now)),
             Outcome::NoState => seq.state = None,
-            // What never left was not out: the time of a state that waits runs on.
-            Outcome::ConnectFailed | Outcome::NeverSent => {}
-            _ => seq.state = seq.state.map(|(reader, _)| (reader, now)),
+            _ => {}
         }
+        seq.held_since = held_since(now, seq, &attempt, got);
         Settled::Schedule
     }
 
@@ -325,7 +324,7 @@
     /// The first token of attempt `n` has come.
     pub fn began(&mut self, now: Nanos, seq: &mut Sequence, n: usize) {
         let Some(attempt) = seq.attempts.get_mut(n) else { return };
-        (attempt.status, seq.state) = (Status::Streaming, None);
+        (attempt.status, seq.state, seq.held_since) = (Status::Streaming, None, None);
         if let Some(server) = self.servers.get_mut(&attempt.server) {
             server.heard = now;
             let time = now.saturating_sub(attempt.sent) as f64;
@@ -706,9 +705,9 @@
         now < until && !self.pinned(now + RECHECK, seq)
     }
 
-    /// Until when a state that waits may be sent on: half the time to release, the other is for the release.
+    /// Until when what is held may wait for a server: half the time to release, the other is for the release.
     pub fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
-        seq.state.map(|(_, since)| since.saturating_add(self.deployment.release_within / 2))
+        seq.held_since.map(|since| since.saturating_add(self.deployment.release_within / 2))
     }
 
     fn pinned(&self, now: Nanos, seq: &Sequence) -> bool {
@@ -723,7 +722,7 @@
             (Some(first), Effect::Tokened { scope: Scope::All, window }) => now < first.sent + window,
             _ => false,
         };
-        (seq.ended, seq.state) = (true, None);
+        (seq.ended, seq.state, seq.held_since) = (true, None, None);
         if harmless {
             let longest = self.deployment.longest_retry_after;
             Schedule::Rejected { retry_after: longest.map(|most| most.min(self.slo(seq) / 2)), release }
@@ -762,7 +761,15 @@
         let own = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
         server.out.push(Out { seq: seq.id, sent: now, tokens: own, waiting: true });
         let tokens = if step == Step::Read { work } else { own };
-        seq.attempts.push(Attempt { server: id, sent: now, step, status: Status::Out, tokens, credit });
+        seq.attempts.push(Attempt {
+            server: id,
+            sent: now,
+            step,
+            status: Status::Out,
+            reached: false,
+            tokens,
+            credit,
+        });
     }
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
@@ -850,6 +857,26 @@
     }
 }
 
+/// Rule 5: since when something may be held for a sequence with nothing out, once this attempt has ended. Every read
+/// that ran may have left its state, whatever came back; a writer without it leaves older ones. The time starts anew
+/// only where the server had the attempt: while connections fail to come up, or swallow what they are given, it runs on.
+pub fn held_since(now: Nanos, seq: &Sequence, attempt: &Attempt, got: Outcome) -> Option<Nanos> {
+    use Outcome::*;
+    let unsent = matches!(got, ConnectFailed | NeverSent);
+    let left = |a: &&Attempt| {
+        let unrun = matches!(a.status, Status::Closed(ConnectFailed | NeverSent | Full));
+        matches!(a.step, Step::Read) && !unrun
+    };
+    let reads = seq.attempts.iter().filter(left).count();
+    let missing = seq.attempts.iter().filter(|a| a.status == Status::Closed(NoState)).count();
+    let answered = matches!(got, ReadDone { .. } | Full | NoState | Error);
+    match seq.held_since {
+        _ if reads <= missing => None,
+        Some(since) if unsent || !(attempt.reached || answered) => Some(since),
+        _ => Some(now),
+    }
+}
+
 /// How late a server comes in for a key: it comes first for its part of all keys, the same at every gateway.
 fn race(key: u64, server: &Server, part: f64) -> f64 {
     let lot = mix(key ^ mix(server.listing.server.0)) as f64 / u64::MAX as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,8 +149,10 @@
     pub arrived: Nanos,
     pub abandon_at: Nanos,
     pub attempts: Vec<Attempt>,
-    /// The reader whose memory holds the read state, and since when nothing has been out for it.
+    /// The reader whose memory holds the read state, and when it was read.
     pub state: Option<(ServerId, Nanos)>,
+    /// Since when readers may hold something for it while no server has an attempt: what rule 5 counts.
+    pub held_since: Option<Nanos>,
     pub admitted: bool,
     pub ended: bool,
 }
@@ -161,6 +163,8 @@
     pub sent: Nanos,
     pub step: Step,
     pub status: Status,
+    /// Its server has it, as far as its socket proves: until then it is not out, as rule 5 counts.
+    pub reached: bool,
     /// Tokens this attempt was thought to load its server with.
     pub tokens: f64,
     pub credit: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,4 @@
 pub mod decay;
 pub mod interface;
 
-pub use brain::Brain;
+pub use brain::{Brain, held_since};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,6 +81,7 @@
         abandon_at: now + 4000 * MS,
         attempts: Vec::new(),
         state: None,
+        held_since: None,
         admitted: false,
         ended: false,
     }
@@ -96,6 +97,7 @@
 /// Closes the newest attempt.
 pub fn close(brain: &mut Brain, now: Nanos, seq: &mut Sequence, outcome: Outcome) -> Settled {
     let n = seq.attempts.len() - 1;
+    seq.attempts[n].reached = true;
     brain.settle(now, seq, n, outcome, outcome == Outcome::Generated)
 }
 
