A shared text has home readers by its part of own sends, instead of all readers

First turns kept 0.86, then 0.37: homes went by session alone, so each of 220 shared texts (some 5,000 tokens) was read at all 39 readers of 190,000 to 300,000 tokens. Checked: sessions did go back to their reader (79 of 89 second turns, 5 to 10 s); no more than one attempt in 5 s was turned away as full.

Change: brain.rs, homes: a text's home readers are the part of all readers that its own sends show, eight times over, counted as one of ten texts while nothing tells; a session's home is among them. Test: tests/failures.rs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,10 @@
 const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
 const HOME: f64 = 0.25;
+/// A shared text is at home at so many times its part of all readers, and counts as one of so many texts while
+/// nothing tells.
+const TEXT_HOMES: f64 = 8.0;
+const FEW_TEXTS: f64 = 10.0;
 /// So much more than its even part may a reader get while nothing is known of moves, and at the most.
 const READ_MORE: f64 = 0.1;
 const READ_MOST: f64 = 2.0;
@@ -172,6 +176,7 @@
     read_tokens: DecayingSum,
     /// How often a shared text was sent of late.
     prefixes: HashMap<PrefixId, DecayingSum>,
+    texts: DecayingSum,
     refusals: u32,
 }
 
@@ -191,6 +196,7 @@
             read_time: DecayingSum::new(READ_LIFE),
             read_tokens: DecayingSum::new(READ_LIFE),
             prefixes: HashMap::new(),
+            texts: DecayingSum::new(TEXT_LIFE),
             refusals: 0,
             deployment,
         }
@@ -344,7 +350,7 @@
         if seq.attempts.len() + 2 > self.most_attempts(seq) {
             return None;
         }
-        let (homes, shared) = (self.homes(seq), self.shared(now, seq));
+        let (homes, shared) = (self.homes(now, seq), self.shared(now, seq));
         let nearest = homes.values().copied().fold(f64::INFINITY, f64::min);
         let work = |s: &Server| {
             let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
@@ -369,7 +375,7 @@
     /// part of all reads it should get, own zone first as far as its readers go round. Guards against reading
     /// texts anew when a gateway has restarted or a session comes through another one, and against skewed
     /// cells.
-    fn homes(&self, seq: &Sequence) -> HashMap<ServerId, f64> {
+    fn homes(&self, now: Nanos, seq: &Sequence) -> HashMap<ServerId, f64> {
         let key = seq.session.map_or(seq.id.0, |session| session.0);
         let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
         self.cells.values().for_each(|c| *zones.entry(c.zone).or_default() += c.reads);
@@ -377,13 +383,18 @@
         let own = zones.get(&self.deployment.zone).copied().unwrap_or(0.0);
         let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
         let short = (even - own).max(0.0) / spare.max(1e-9);
+        // A text that many share is kept by some readers, by its part of all reads as far as own sends tell, rather
+        // than pushed out of all.
+        let sent = seq.prefix.and_then(|id| self.prefixes.get(&id)).map_or(0.0, |sent| sent.read(now));
+        let spread = TEXT_HOMES * (1.0 + sent) / (FEW_TEXTS + self.texts.read(now));
         let away = |s: &Server| {
             let cell = self.cells.get(&s.listing.cell)?;
             let part = zones[&cell.zone].max(1e-9);
             let here = cell.zone == self.deployment.zone;
             let zone = if here { part.min(even) } else { (part - even).max(0.0) * short };
             let part = zone * cell.reads / part * self.weight(s) / cell.readers.max(1e-9);
-            Some((s.listing.server, race(key, s, part)))
+            let astray = seq.prefix.is_some_and(|PrefixId(text)| race(mix(text), s, part) > spread);
+            Some((s.listing.server, race(key, s, part) + if astray { LAST } else { 0.0 }))
         };
         self.servers.values().filter(|s| self.role(s) == Role::Reader).filter_map(away).collect()
     }
@@ -756,6 +767,7 @@
                     self.prefixes.retain(|_, sent| sent.read(now) > 0.1);
                 }
                 self.prefixes.entry(id).or_insert(DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
+                self.texts.add(now, 1.0);
             }
         }
         let own = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -452,3 +452,29 @@
     sent(brain.schedule(now, &mut seq));
     assert_eq!((seq.attempts.last().map(|a| a.step), seq.attempts.len()), (Some(Step::Write), 4));
 }
+
+/// Guards against a text that some conversations share being read at every reader, which pushes out all others.
+#[test]
+fn a_shared_text_has_a_few_home_readers_at_every_gateway_and_one_that_all_share_has_all() {
+    // Twenty cells of a reader and a writer.
+    let cell = |n: u64| Listing { zone: ZoneId(0), ..entry(n, (n % 2) as usize, (n / 2) as i64) };
+    let fleet: Vec<Listing> = (0..40).map(cell).collect();
+    for (alike, fewest, most) in [(false, 1, 8), (true, 14, 20)] {
+        let mut readers = std::collections::BTreeSet::new();
+        for gateway in 0..60 {
+            let mut brain = Brain::new(START, Deployment { gateways: 60, ..deployment() }, gateway);
+            brain.listed(START, ListScope::Remembered, &fleet);
+            for n in 0..=60 {
+                let mut seq = sequence(gateway * 100 + n, 0, START);
+                let text = if n == 60 || alike { 77 } else { 1_000 + gateway * 100 + n };
+                seq.session = Some(SessionId(seq.id.0));
+                (seq.prefix, seq.prefix_tokens) = (Some(PrefixId(text)), 800.0);
+                let reader = read(&mut brain, START, &mut seq, MS);
+                if n == 60 {
+                    readers.insert(reader);
+                }
+            }
+        }
+        assert!((fewest..=most).contains(&readers.len()), "alike: {alike}, {readers:?}");
+    }
+}
