--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -498,6 +498,35 @@
     }
 }
 
+#[test]
+fn a_thousand_servers_and_gateways_are_listed_replaced_and_changed() {
+    let many = Deployment { gateways: 1_024, ..deployment() };
+    let (mut passage, mut out) = (Passage::new(START, many, 7, 9), Vec::new());
+    let both =
+        |n: u64, condition| (Listing { condition, ..entry(n, usize::from(n % 2 > 0)) }, at(1 + n as u16));
+    let listed = |passage: &Passage<&str>| (0..4_000).filter(|n| passage.lists(&at(1 + n))).count();
+    let first: Vec<_> = (0..1_024).map(|n| both(n, Condition::Ready)).collect();
+    passage.listed(START, ListScope::Remembered, &first);
+    passage.take(START, sequence(SeqId(5), Relay::Passed), "hello", &mut out).unwrap();
+    let Some(Order::Send { dispatch: read, .. }) = out.pop() else { panic!("nothing is sent") };
+    assert_eq!((listed(&passage), read.step), (1_024, Step::Read));
+    // A whole new list takes the place of the old one, and half of that is replaced.
+    let next: Vec<_> = (1_024..2_048).map(|n| both(n, Condition::Ready)).collect();
+    passage.listed(START, ListScope::Whole, &next);
+    assert_eq!((listed(&passage), passage.address(read.server)), (1_024, None));
+    let gone = (1_024..1_536).map(|n| both(n, Condition::Gone));
+    let changes: Vec<_> = gone.chain((2_048..2_560).map(|n| both(n, Condition::Ready))).collect();
+    passage.listed(START, ListScope::Changes, &changes);
+    assert_eq!(listed(&passage), 1_024);
+    passage.ended(START + MS, &read, Ending::Reset, &mut out);
+    let again = out.iter().find_map(|order| match order {
+        Order::Send { dispatch, to, .. } => Some((dispatch.server.0, *to)),
+        _ => None,
+    });
+    let (server, to) = again.expect("it is read elsewhere");
+    assert!((1_536..2_560).contains(&server) && to == Some(at(1 + server as u16)));
+}
+
 #[test]
 fn an_id_in_hand_and_more_than_there_is_room_for_are_refused_and_leave_nothing_behind() {
     let (mut passage, mut out) = (passage(1), Vec::new());
