--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -502,8 +502,7 @@
 fn a_thousand_servers_and_gateways_are_listed_replaced_and_changed() {
     let many = Deployment { gateways: 1_024, ..deployment() };
     let (mut passage, mut out) = (Passage::new(START, many, 7, 9), Vec::new());
-    let both =
-        |n: u64, condition| (Listing { condition, ..entry(n, (n % 2) as usize) }, at(1 + n as u16));
+    let both = |n: u64, condition| (Listing { condition, ..entry(n, (n % 2) as usize) }, at(1 + n as u16));
     let listed = |passage: &Passage<&str>| (0..4_000).filter(|n| passage.lists(&at(1 + n))).count();
     let first: Vec<_> = (0..1_024).map(|n| both(n, Condition::Ready)).collect();
     passage.listed(START, ListScope::Remembered, &first);
