--- a/conductor/benches/schedule.rs
+++ b/conductor/benches/schedule.rs
@@ -20,6 +20,7 @@
         slo_per_prompt_token: 0,
         token_pace: 50 * MS,
         effect: Effect::Repeatable,
+        delivery: Delivery::Streamed,
     };
     Deployment {
         gateways: 4,
@@ -39,6 +40,7 @@
         cold_from: 0.3,
         cold_multiple: 2.5,
         cold_window: 2_000 * MS,
+        tick: 0,
     }
 }
 
--- a/conductor/tests/desk.rs
+++ b/conductor/tests/desk.rs
@@ -19,6 +19,7 @@
         slo_per_prompt_token: 0,
         token_pace: 50 * MS,
         effect: Effect::Repeatable,
+        delivery: Delivery::Streamed,
     };
     let once = TrafficType { effect: Effect::OnceOnly, ..traffic.clone() };
     let deployment = Deployment {
@@ -39,6 +40,7 @@
         cold_from: 1.0,
         cold_multiple: 2.0,
         cold_window: MS,
+        tick: 0,
     };
     let listing = |number: u64| Listing {
         server: ServerId(number),
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -23,6 +23,7 @@
             slo_per_prompt_token: 0,
             token_pace: 20 * MS,
             effect: Effect::Repeatable,
+            delivery: Delivery::Streamed,
         }],
         kinds: vec![kind(Role::Reader), kind(Role::Writer)],
         tenants: vec![],
@@ -38,6 +39,7 @@
         cold_from: 0.3,
         cold_multiple: 2.5,
         cold_window: S,
+        tick: 0,
     }
 }
 
--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -11,7 +11,53 @@
 const RELEASE_WITHIN: Nanos = 500 * MS;
 
 fn traffic(utility: f64, effect: Effect) -> TrafficType {
-    TrafficType { utility, latency_slo: 500 * MS, slo_per_prompt_token: 0, token_pace: 20 * MS, effect }
+    let delivery = Delivery::Streamed;
+    TrafficType {
+        utility,
+        latency_slo: 500 * MS,
+        slo_per_prompt_token: 0,
+        token_pace: 20 * MS,
+        effect,
+        delivery,
+    }
+}
+
+/// A deployment as settings may have it, and its servers by kind.
+struct Build {
+    deployment: Deployment,
+    kinds: [usize; 6],
+}
+
+impl Build {
+    fn usual() -> Self {
+        Build { deployment: deployment(), kinds: [0, 0, 1, 1, 1, 2] }
+    }
+
+    /// Any mix of roles and limits that the wire allows.
+    fn any(chance: &mut Rand64) -> Self {
+        let mut deployment = deployment();
+        let mut one_of = |most: u64| chance.rand_range(0..most) as usize;
+        let kinds: &[usize] = [&[0, 1, 2][..], &[0, 1], &[0, 2], &[1, 2], &[0], &[1], &[2]][one_of(7)];
+        deployment.max_attempts = 1 + one_of(3);
+        deployment.writers_read = one_of(2) == 0;
+        deployment.gateways = [1, 300][one_of(2)];
+        deployment.weights = [Weights::Size, Weights::Unused][one_of(2)];
+        deployment.longest_retry_after = [None, Some(0), Some(60_000 * MS)][one_of(3)];
+        deployment.release_within = [30, 200, 500, 5_000][one_of(4)] * MS;
+        deployment.tick = [0, 4, 25][one_of(3)] * MS;
+        let scope = [Scope::All, Scope::Zone, Scope::Cell][one_of(3)];
+        deployment.types[2].effect = Effect::Tokened { scope, window: [0, 100, 3_000][one_of(3)] * MS };
+        for traffic in &mut deployment.types {
+            traffic.delivery = [Delivery::Streamed, Delivery::Whole][one_of(2)];
+            traffic.utility = [0.0, 0.5, 4.0][one_of(3)];
+            traffic.latency_slo = [1, 500, 60_000][one_of(3)] * MS;
+        }
+        Build { deployment, kinds: std::array::from_fn(|_| kinds[one_of(kinds.len() as u64)]) }
+    }
+
+    fn listing(&self, number: u64, condition: Condition) -> Listing {
+        Listing { kind: KindId(self.kinds[number as usize]), ..listing(number, condition) }
+    }
 }
 
 pub fn deployment() -> Deployment {
@@ -36,6 +82,7 @@
         cold_from: 0.3,
         cold_multiple: 2.5,
         cold_window: 500 * MS,
+        tick: 0,
     }
 }
 
@@ -70,10 +117,13 @@
     /// Its client has seen part of its stream.
     seen: bool,
     may_have_run: Option<(ServerId, Nanos, usize)>,
+    /// Reads that may have left something, and since when that waits with nothing out.
+    left: usize,
     state: Option<Nanos>,
 }
 
 struct World {
+    build: Build,
     conductor: Conductor,
     courses: BTreeMap<SeqId, Course>,
     closed: [bool; 6],
@@ -117,31 +167,44 @@
                     if let Some((_, what)) = checks.iter().find(|(broken, _)| *broken) {
                         return Err(format!("{what}: {dispatch:?}"));
                     }
-                    if let (2, Some((first, at, _)), true) = (course.traffic, course.may_have_run, writes)
-                        && (first.0 % 2 != dispatch.server.0 % 2 || self.now >= at + 3_000 * MS)
+                    let effect = self.build.deployment.types[course.traffic].effect;
+                    if let (Effect::Tokened { scope, window }, Some((first, at, _))) =
+                        (effect, course.may_have_run)
                     {
-                        return Err(format!("rule 2: tokened left its group or window: {dispatch:?}"));
+                        let group = scope != Scope::Cell || first.0 % 2 == dispatch.server.0 % 2;
+                        if !group || self.now >= at + window {
+                            return Err(format!("rule 2: tokened left its group or window: {dispatch:?}"));
+                        }
                     }
                     if writes && course.may_have_run.is_none() {
                         course.may_have_run = Some((dispatch.server, self.now, dispatch.attempt));
                     }
                     (course.out, course.began, course.state) = (Some(dispatch), false, None);
                 }
-                Action::Cancel { id, .. } => {
+                Action::Cancel { id, step, .. } => {
                     if let Some(course) = self.courses.get_mut(&id) {
                         course.out = None;
+                        course.left += usize::from(step == Step::Read);
+                        course.state = (course.left > 0).then_some(self.now);
                     }
                 }
                 Action::Release { id } => {
                     if let Some(course) = self.courses.get_mut(&id) {
-                        course.state = None;
+                        (course.left, course.state) = (0, None);
                     }
                 }
-                Action::Reject { id, .. } => {
+                Action::Reject { id, retry_after, .. } => {
                     let course = self.courses.get_mut(&id).ok_or("a rejection for nobody")?;
                     course.finals += 1;
-                    let ran = course.may_have_run.is_some();
-                    if course.traffic != 0 && ran || course.seen {
+                    let harmful =
+                        match (self.build.deployment.types[course.traffic].effect, course.may_have_run) {
+                            (Effect::Repeatable, _) | (_, None) => false,
+                            (Effect::Tokened { scope: Scope::All, window }, Some((_, at, _))) => {
+                                self.now + retry_after.unwrap_or(0) >= at + window
+                            }
+                            _ => true,
+                        };
+                    if harmful || course.seen {
                         return Err(format!("rule 2: {id:?} was rejected though it may have run"));
                     }
                 }
@@ -155,16 +218,28 @@
             if course.finals == 0 && course.whole_by.is_some_and(|by| self.now > by) {
                 return Err(format!("rule 1: {id:?} outlasts its client's whole time"));
             }
+            let late = self.now >= course.abandon_at + self.build.deployment.tick.max(1);
+            if course.finals == 0 && !course.began && !course.seen && late {
+                return Err(format!("rule 1: {id:?} has no final answer in its client's time"));
+            }
             if course.finals > 1 {
                 return Err(format!("rule 1: {id:?} got {} final answers", course.finals));
             }
-            if course.out.is_none() && course.state.is_some_and(|since| self.now > since + RELEASE_WITHIN) {
+            if course.out.is_none()
+                && course.state.is_some_and(|since| self.now > since + self.build.deployment.release_within)
+            {
                 return Err(format!("rule 5: a state of {id:?} is pinned"));
             }
         }
         Ok(())
     }
 
+    /// Nothing of an answer shows before its end.
+    fn whole(&self, id: SeqId) -> bool {
+        let traffic = self.courses.get(&id).map_or(0, |course| course.traffic);
+        self.build.deployment.types[traffic].delivery == Delivery::Whole
+    }
+
     fn ending(&mut self, dispatch: &Dispatch, began: bool) -> Ending {
         match self.chance.rand_range(0..10) {
             0 => Ending::NotConnected,
@@ -175,11 +250,20 @@
             5 => Ending::Malformed,
             6 => Ending::HandedBack,
             _ if dispatch.step == Step::Read => Ending::ReadDone { kept: 0.0 },
-            _ if began => Ending::Generated,
+            _ if began || self.whole(dispatch.id) => Ending::Generated,
             _ => Ending::Reset,
         }
     }
 
+    /// A timer comes as late as the clock allows.
+    fn pass_timer(&mut self, due: Nanos) -> Result<(), String> {
+        let late = self.chance.rand_range(0..self.build.deployment.tick.max(1));
+        self.now = self.now.max(due + late);
+        let mut out = Vec::new();
+        self.conductor.due(self.now, &mut out);
+        self.carry_out(out)
+    }
+
     /// One event at a time, as chance has it.
     fn step(&mut self, number: u64) -> Result<(), String> {
         let mut out = Vec::new();
@@ -217,10 +301,12 @@
                 self.conductor.take(self.now, new, &mut out);
             }
             3..5 => {
-                if let Some((id, dispatch, false)) = picked.filter(|(_, d, _)| d.step != Step::Read) {
+                if let Some((id, dispatch, false)) =
+                    picked.filter(|(id, d, _)| d.step != Step::Read && !self.whole(*id))
+                {
                     self.conductor.began(self.now, id, dispatch.attempt);
                     let course = self.courses.get_mut(&id).ok_or("gone")?;
-                    course.began = true;
+                    (course.began, course.left) = (true, 0);
                     course.seen |= course.relay == Some(Relay::Streamed);
                 }
             }
@@ -229,8 +315,11 @@
                     let ending = self.ending(&dispatch, began);
                     let course = self.courses.get_mut(&id).ok_or("gone")?;
                     course.out = None;
+                    let read = dispatch.step == Step::Read && !ending.proves_unrun();
+                    let missing = ending == Ending::StateMissing;
+                    course.left = (course.left + usize::from(read)).saturating_sub(usize::from(missing));
+                    course.state = (course.left > 0).then_some(self.now);
                     match ending {
-                        Ending::ReadDone { .. } => course.state = Some(self.now),
                         proven if proven.proves_unrun() && !began => {
                             // The observer forgets an attempt that provably never ran.
                             let own = |(.., attempt): &(ServerId, Nanos, usize)| *attempt == dispatch.attempt;
@@ -242,6 +331,9 @@
                 }
             }
             8 => {
+                let (server, share) = (ServerId(number % 7), self.chance.rand_float());
+                let report = Report { memory_share: Some(share), queued_prompt_tokens: Some(share * 1e4) };
+                self.conductor.reported(self.now, server, report);
                 if let Some((id, ..)) = picked {
                     let course = self.courses.get_mut(&id).ok_or("gone")?;
                     course.finals += 1; // nobody is left to be answered
@@ -253,16 +345,13 @@
                 let condition =
                     [Condition::Ready, Condition::Draining][self.chance.rand_range(0..2) as usize];
                 self.closed[server as usize] = condition != Condition::Ready;
-                self.conductor.listed(self.now, ListScope::Changes, &[listing(server, condition)]);
+                self.conductor.listed(self.now, ListScope::Changes, &[self.build.listing(server, condition)]);
             }
             _ => {
                 // Time never jumps over a timer, as in a shell that keeps them.
                 let most = self.now + self.chance.rand_range(0..400) * MS;
                 while let Some(due) = self.conductor.next_due().filter(|due| *due <= most) {
-                    self.now = self.now.max(due);
-                    let mut late = Vec::new();
-                    self.conductor.due(self.now, &mut late);
-                    self.carry_out(late)?;
+                    self.pass_timer(due)?;
                 }
                 self.now = self.now.max(most);
             }
@@ -271,22 +360,23 @@
     }
 }
 
-fn course(seed: u64) -> Result<(), String> {
-    let mut conductor = Conductor::new(0, deployment(), seed);
-    let list: Vec<Listing> = (0..6).map(|number| listing(number, Condition::Ready)).collect();
+fn world(seed: u64, build: Build) -> World {
+    let mut conductor = Conductor::new(0, build.deployment.clone(), seed);
+    let list: Vec<Listing> = (0..6).map(|number| build.listing(number, Condition::Ready)).collect();
     conductor.listed(0, ListScope::Whole, &list);
     let chance = Rand64::new(seed.into());
-    let mut world = World { conductor, courses: BTreeMap::new(), closed: [false; 6], chance, now: MS };
+    World { build, conductor, courses: BTreeMap::new(), closed: [false; 6], chance, now: MS }
+}
+
+fn course(seed: u64, build: Build) -> Result<(), String> {
+    let mut world = world(seed, build);
     for number in 0..300 {
         world.step(number)?;
     }
     // Every timer runs out: whatever is in hand ends by itself.
     for _ in 0..100_000 {
         let Some(due) = world.conductor.next_due() else { break };
-        world.now = world.now.max(due);
-        let mut out = Vec::new();
-        world.conductor.due(world.now, &mut out);
-        world.carry_out(out)?;
+        world.pass_timer(due)?;
     }
     let unanswered = world.courses.values().filter(|course| course.finals != 1).count();
     if unanswered + world.conductor.in_hand() > 0 {
@@ -297,21 +387,25 @@
 
 #[test]
 fn whatever_happens_the_rules_hold() {
-    let holds = |seed: u64| match course(seed) {
+    let holds = |seed: u64| match course(seed, Build::usual()) {
         Ok(()) => TestResult::passed(),
         Err(what) => TestResult::error(format!("seed {seed}: {what}")),
     };
     QuickCheck::new().tests(300).quickcheck(holds as fn(u64) -> TestResult);
 }
 
+#[test]
+fn whatever_happens_in_any_build_that_settings_allow_the_rules_hold() {
+    for seed in 0..1_000 {
+        let build = Build::any(&mut Rand64::new(!u128::from(seed)));
+        course(seed, build).unwrap_or_else(|what| panic!("seed {seed}: {what}"));
+    }
+}
+
 #[test]
 fn at_the_end_of_a_drain_everything_is_answered_at_once() {
     for seed in 0..50 {
-        let mut conductor = Conductor::new(0, deployment(), seed);
-        let list: Vec<Listing> = (0..6).map(|number| listing(number, Condition::Ready)).collect();
-        conductor.listed(0, ListScope::Whole, &list);
-        let chance = Rand64::new(seed.into());
-        let mut world = World { conductor, courses: BTreeMap::new(), closed: [false; 6], chance, now: MS };
+        let mut world = world(seed, Build::usual());
         for number in 0..60 {
             world.step(number).unwrap();
         }
@@ -322,3 +416,109 @@
         assert_eq!((world.conductor.in_hand(), world.conductor.next_due()), (0, None));
     }
 }
+
+/// Where a conductor stands just before it gives a sequence up, and the event that makes it.
+type Cause = fn(&mut Conductor, &mut Vec<Action>) -> Nanos;
+
+/// A sequence of this traffic type whose client waits for four seconds; the attempts that went out are ended so,
+/// each 10 ms after the one before.
+fn tried(conductor: &mut Conductor, traffic: usize, endings: &[Ending], out: &mut Vec<Action>) -> Nanos {
+    let new = NewSequence {
+        id: SeqId(1),
+        traffic: TypeId(traffic),
+        tenant: None,
+        session: None,
+        prefix: None,
+        prompt_tokens: 100.0,
+        prefix_tokens: 0.0,
+        max_out: 50.0,
+        hint: None,
+        resumed: false,
+        relay: Relay::Passed,
+        abandon_at: 4_000 * MS,
+        whole_by: None,
+    };
+    conductor.take(0, new, out);
+    let mut now = 0;
+    for (attempt, ending) in endings.iter().enumerate() {
+        now += 10 * MS;
+        conductor.ended(now, SeqId(1), attempt, *ending, out);
+    }
+    now
+}
+
+/// Timers up to the first that is not before `until`.
+fn pass(conductor: &mut Conductor, until: Nanos, out: &mut Vec<Action>) -> Nanos {
+    while let Some(due) = conductor.next_due() {
+        out.clear();
+        conductor.due(due, out);
+        if due >= until || conductor.next_due().is_none() {
+            return due;
+        }
+    }
+    until
+}
+
+#[test]
+fn whatever_gives_a_sequence_up_answers_it_in_the_same_step() {
+    let causes: [(&str, Cause); 8] = [
+        ("attempts are used up", |c, out| {
+            tried(
+                c,
+                2,
+                &[Ending::RefusedFull, Ending::NotConnected, Ending::RefusedFull, Ending::NotConnected],
+                out,
+            )
+        }),
+        ("once-only work may have run", |c, out| {
+            tried(c, 1, &[Ending::ReadDone { kept: 0.0 }, Ending::Reset], out)
+        }),
+        ("the stream broke", |c, out| {
+            tried(c, 0, &[Ending::ReadDone { kept: 0.0 }], out);
+            c.began(20 * MS, SeqId(1), 1);
+            c.ended(30 * MS, SeqId(1), 1, Ending::Reset, out);
+            30 * MS
+        }),
+        ("no server comes", |c, out| {
+            c.listed(0, ListScope::Whole, &[]);
+            tried(c, 0, &[], out);
+            pass(c, 4_000 * MS, out)
+        }),
+        ("nobody can take the state in time", |c, out| {
+            let writers: Vec<Listing> = (2..6).map(|n| listing(n, Condition::Gone)).collect();
+            c.listed(0, ListScope::Changes, &writers);
+            tried(c, 0, &[Ending::ReadDone { kept: 0.0 }], out);
+            pass(c, 4_000 * MS, out)
+        }),
+        ("the client's time is up under an attempt", |c, out| {
+            tried(c, 1, &[Ending::ReadDone { kept: 0.0 }], out);
+            pass(c, 4_000 * MS, out)
+        }),
+        ("the gateway stops", |c, out| {
+            tried(c, 0, &[Ending::ReadDone { kept: 0.0 }], out);
+            c.finish_all(20 * MS, out);
+            20 * MS
+        }),
+        ("all writers are full", |c, out| {
+            let full = Report { memory_share: Some(1.0), queued_prompt_tokens: None };
+            (2..6).for_each(|n| c.reported(0, ServerId(n), full));
+            tried(c, 0, &[], out)
+        }),
+    ];
+    for (why, cause) in causes {
+        let mut conductor = world(5, Build::usual()).conductor;
+        let mut out = Vec::new();
+        let now = cause(&mut conductor, &mut out);
+        let last =
+            |a: &&Action| matches!(a, Action::Reject { .. } | Action::Abort { .. } | Action::Over { .. });
+        assert_eq!(out.iter().filter(last).count(), 1, "{why}: {out:?}");
+        assert_eq!(
+            (conductor.next_due(), conductor.in_hand()),
+            (None, 0),
+            "{why}: nothing is left to wait for"
+        );
+        assert!(now <= 4_000 * MS, "{why}: at {now}");
+        let told = out.iter().all(|a| !matches!(a, Action::Reject { retry_after: None, .. }));
+        assert!(told, "{why}: a rejection says when to come back where settings carry it");
+    }
+}
--- a/drill/src/decode.rs
+++ b/drill/src/decode.rs
@@ -2,7 +2,7 @@
 
 use petrelshore::interface::*;
 pub use petrelshore_platform_terms::Malformed;
-use petrelshore_platform_terms::load;
+use petrelshore_platform_terms::load::{self, Field};
 use std::str::FromStr;
 
 /// One line: a message's kind and its fields. A text field runs to the end of the line.
@@ -93,8 +93,8 @@
         known.iter().position(|k| k == value).ok_or_else(|| self.wrong(name, value))
     }
 
-    pub fn report(&self, fields: &[String]) -> Result<Option<Report>, Malformed> {
-        let Some(row) = self.text("healthInfo") else { return Ok(None) };
+    pub fn report(&self, fields: &[Field]) -> Result<Option<Report>, Malformed> {
+        let Some(row) = self.text("healthInfo").filter(|_| !fields.is_empty()) else { return Ok(None) };
         load::row(row, fields).map(Some).ok_or_else(|| self.wrong("healthInfo", row))
     }
 }
--- a/drill/tests/exchange.rs
+++ b/drill/tests/exchange.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-const OPTIONS: &str = r#"{"allowed":{"maxAttempts":4,"maxRetryAfter":1000,"retryAfter":true},"balancers":2,"dcs":["here"],"kinds":["reader","writer"],"lanes":[{"aim":1000000000,"name":"ask","semantics":"free","worth":1.0}],"membershipMode":"on_request","orgs":[],"overShareWorth":0.1,"report":{"fields":["outstanding","x0"],"how":"inline"},"rules":{"askEvery":10000000000,"cold":1000000000,"coldFrom":0.3,"overloadFactor":2.5,"overloadFor":1500000000},"specifics":{"aimUsPer1000PromptTokens":[40000.0],"kindRole":["read","write"],"memoryTokens":[1000,1000.5],"readInPlace":false,"releaseWithin":300000000,"tokenAim":[60000000]},"weights":"off","zone":"here","later":[1]}"#;
+const OPTIONS: &str = r#"{"allowed":{"maxAttempts":4,"maxRetryAfter":1000,"retryAfter":true},"balancers":2,"dcs":["here"],"kinds":["reader","writer"],"lanes":[{"aim":1000000000,"name":"ask","semantics":"free","streamed":true,"worth":1.0}],"membershipMode":"on_request","orgs":[],"overShareWorth":0.1,"report":{"fields":["outstanding","x0"],"how":"inline"},"rules":{"askEvery":10000000000,"cold":1000000000,"coldFrom":0.3,"overloadFactor":2.5,"overloadFor":1500000000},"specifics":{"aimUsPer1000PromptTokens":[40000.0],"kindRole":["read","write"],"memoryTokens":[1000,1000.5],"readInPlace":false,"releaseWithin":300000000,"reportX0":"share of memory that is held","tokenAim":[60000000]},"tick":4000000,"weights":"off","zone":"here","later":[1]}"#;
 const LIST: &str = "MEMBERS i=3 version=1 kind=remembered membersList=2 extra=x\n\
     SERVER flavor=reader server=r.one condition=Ready pack=0 regionPart=here\n\
     SERVER flavor=writer server=w.one condition=Ready pack=0 regionPart=here\n";
@@ -43,10 +43,11 @@
     assert!(output.status.success());
     let replies = String::from_utf8(output.stdout).unwrap();
     let lines: Vec<&str> = replies.lines().map(|l| l.split(" tryFor").next().unwrap()).collect();
-    let sent = "FORWARD i=3 ticket=00000000000000aa";
+    let (sent, free) = ("FORWARD i=3 ticket=00000000000000aa", "FREE_STATE i=3 ticket=00000000000000aa");
     assert_eq!(
         lines,
-        ["READY", "SUBSCRIBE i=3 want=1", "READY", sent, "READY", sent, "READY", "READY", "READY"]
+        ["READY", "SUBSCRIBE i=3 want=1", "READY", sent, "READY", sent, "READY", free, "READY", "READY"],
+        "an answer that came without a first token lets go of nothing by itself"
     );
     assert!(replies.contains("server=r.one") && replies.contains("server=w.one"));
 }
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -11,7 +11,7 @@
 use petrelshore_framing::head::AnswerHead;
 use petrelshore_framing::wire::{Broken, Wire};
 use petrelshore_gateway::Clock;
-use petrelshore_platform_terms::load;
+use petrelshore_platform_terms::load::{self, Field};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -57,7 +57,7 @@
     idle: RefCell<Connections<SocketAddr, Line>>,
     places: Rc<()>,
     most: usize,
-    pub(crate) fields: Vec<String>,
+    pub(crate) fields: Vec<Field>,
 }
 
 #[derive(Clone)]
@@ -66,7 +66,7 @@
 impl Client {
     /// At most so many connections are open at once; servers close idle ones after `idle_for`. `fields` are the
     /// names in load reports.
-    pub fn new(clock: Clock, most: usize, idle_for: Nanos, fields: Vec<String>) -> Self {
+    pub fn new(clock: Clock, most: usize, idle_for: Nanos, fields: Vec<Field>) -> Self {
         let idle = RefCell::new(Connections::bounded(idle_for, most));
         Client(Rc::new(Shared { clock, idle, places: Rc::new(()), most, fields }))
     }
--- a/platform-terms/src/load.rs
+++ b/platform-terms/src/load.rs
@@ -1,34 +1,75 @@
 //! A model server's report of its load.
 
+use crate::Malformed;
+use crate::settings::{word, words, wrong};
 use petrelshore::interface::Report;
+use serde_json::Value;
+
+/// What a field of the reports tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measure {
+    MemoryShare,
+    QueuedThousands,
+    /// Something that the decisions have no use for, or do not know.
+    Other,
+}
+
+#[derive(Clone, Debug)]
+pub struct Field {
+    name: String,
+    measure: Measure,
+}
+
+/// The fields of reports, each for what the settings say that it is; none where no loads are told.
+pub fn fields(settings: &Value) -> Result<Vec<Field>, Malformed> {
+    match word(settings, "report.how")? {
+        "inline" | "on_probe" => {}
+        "off" => return Ok(Vec::new()),
+        _ => return Err(wrong("report.how", &settings["report"]["how"])),
+    }
+    let measure = |name: &str| -> Result<Measure, Malformed> {
+        let means = match name {
+            "x0" => word(settings, "specifics.reportX0")?,
+            "x1" => word(settings, "specifics.reportX1")?,
+            _ => return Ok(Measure::Other),
+        };
+        Ok(match means {
+            "share of memory that is held" => Measure::MemoryShare,
+            "thousands of prompt tokens waiting to be read or fetched" => Measure::QueuedThousands,
+            _ => Measure::Other,
+        })
+    };
+    let names = words(settings, "report.fields")?.into_iter();
+    names.map(|name| Ok(Field { measure: measure(&name)?, name })).collect()
+}
 
 /// A row of values in the order that the settings give.
-pub fn row(row: &str, fields: &[String]) -> Option<Report> {
+pub fn row(row: &str, fields: &[Field]) -> Option<Report> {
     let values: Vec<f64> = row.split(',').map(str::parse).collect::<Result<_, _>>().ok()?;
-    let named = fields.iter().map(String::as_str).zip(values.iter().copied());
+    let named = fields.iter().map(|field| field.measure).zip(values.iter().copied());
     (values.len() == fields.len()).then(|| report(named))?
 }
 
 /// `name=value` pairs, as answers carry them. What can't be read is no report.
-pub fn pairs(text: &str, fields: &[String]) -> Option<Report> {
+pub fn pairs(text: &str, fields: &[Field]) -> Option<Report> {
     let pairs = text.split(',').map(|pair| {
         let (name, value) = pair.trim().split_once('=')?;
-        let known = fields.iter().find(|field| *field == name)?;
-        Some((known.as_str(), value.parse().ok()?))
+        let known = fields.iter().find(|field| field.name == name)?;
+        Some((known.measure, value.parse().ok()?))
     });
     report(pairs.collect::<Option<Vec<_>>>()?.into_iter())
 }
 
-fn report<'a>(values: impl Iterator<Item = (&'a str, f64)>) -> Option<Report> {
+fn report(values: impl Iterator<Item = (Measure, f64)>) -> Option<Report> {
     let mut report = Report::default();
-    for (name, value) in values {
+    for (measure, value) in values {
         if !value.is_finite() {
             return None;
         }
-        match name {
-            "x0" => report.memory_share = Some(value.max(0.0)),
-            "x1" => report.queued_prompt_tokens = Some(value.max(0.0) * 1000.0),
-            _ => {}
+        match measure {
+            Measure::MemoryShare => report.memory_share = Some(value.max(0.0)),
+            Measure::QueuedThousands => report.queued_prompt_tokens = Some(value.max(0.0) * 1000.0),
+            Measure::Other => {}
         }
     }
     Some(report)
@@ -40,7 +81,9 @@
 
     #[test]
     fn reports_are_read_whole_or_not_at_all() {
-        let fields: Vec<String> = ["inflight", "x0", "x1"].map(String::from).into();
+        let fields =
+            [("inflight", Measure::Other), ("x0", Measure::MemoryShare), ("x1", Measure::QueuedThousands)];
+        let fields = fields.map(|(name, measure)| Field { name: name.to_owned(), measure });
         let told = |report: Option<Report>| report.map(|r| (r.memory_share, r.queued_prompt_tokens));
         assert_eq!(told(pairs("inflight=7, x0=0.5,x1=2", &fields)), Some((Some(0.5), Some(2000.0))));
         assert_eq!(told(row("7,-0.5,2", &fields)), Some((Some(0.0), Some(2000.0))));
--- a/platform-terms/src/settings.rs
+++ b/platform-terms/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings object, by the names of the simulator's wire.
 
 use crate::Malformed;
+use crate::load::{Field, fields};
 use petrelshore::interface::*;
 use serde_json::Value;
 
@@ -11,7 +12,7 @@
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
-    pub report: Vec<String>,
+    pub report: Vec<Field>,
 }
 
 pub(crate) fn at<'a>(value: &'a Value, path: &str) -> Result<&'a Value, Malformed> {
@@ -48,13 +49,23 @@
     value.as_array().map(Vec::as_slice).ok_or_else(|| wrong(path, value))
 }
 
-fn words(value: &Value, path: &str) -> Result<Vec<String>, Malformed> {
+pub(crate) fn words(value: &Value, path: &str) -> Result<Vec<String>, Malformed> {
     let all = list(value, path)?.iter();
     all.map(|v| v.as_str().map(str::to_owned).ok_or_else(|| wrong(path, v))).collect()
 }
 
-fn named(value: &Value, path: &str) -> Result<Vec<String>, Malformed> {
-    list(value, path)?.iter().map(|entry| word(entry, "name").map(str::to_owned)).collect()
+/// What each entry of a list gives; what is wrong in one is told with its place.
+fn each<T>(
+    path: &str,
+    entries: &[Value],
+    read: impl Fn(&Value) -> Result<T, Malformed>,
+) -> Result<Vec<T>, Malformed> {
+    let read = |(n, entry)| read(entry).map_err(|what| format!("{path}[{n}]: {what}"));
+    entries.iter().enumerate().map(read).collect()
+}
+
+fn name(entry: &Value) -> Result<String, Malformed> {
+    word(entry, "name").map(str::to_owned)
 }
 
 fn traffic_type(lane: &Value, per_1000_us: &Value, pace: &Value) -> Result<TrafficType, Malformed> {
@@ -66,11 +77,11 @@
                 "all" => Scope::All,
                 "zone" => Scope::Zone,
                 "cell" => Scope::Cell,
-                _ => return Err(wrong("lanes.dedupScope", lane)),
+                _ => return Err(wrong("dedupScope", &lane["dedupScope"])),
             };
             Effect::Tokened { scope, window: nanos(lane, "window")? }
         }
-        _ => return Err(wrong("lanes.semantics", lane)),
+        _ => return Err(wrong("semantics", &lane["semantics"])),
     };
     let per_1000_us = per_1000_us.as_f64().filter(|n| n.is_finite() && *n >= 0.0);
     Ok(TrafficType {
@@ -80,64 +91,72 @@
             as Nanos,
         token_pace: pace.as_u64().ok_or_else(|| wrong("specifics.tokenAim", pace))?,
         effect,
+        delivery: if flag(lane, "streamed")? { Delivery::Streamed } else { Delivery::Whole },
     })
 }
 
 /// The settings of a gateway: what the decisions read, and the names that lists and requests then use.
 pub fn settings(s: &Value) -> Result<(Deployment, Names), Malformed> {
+    let orgs = s.get("orgs").map_or(Ok(&[][..]), |_| list(s, "orgs"))?;
     let names = Names {
-        types: named(s, "lanes")?,
-        tenants: named(s, "orgs")?,
+        types: each("lanes", list(s, "lanes")?, name)?,
+        tenants: each("orgs", orgs, name)?,
         zones: words(s, "dcs")?,
         kinds: words(s, "kinds")?,
-        report: words(s, "report.fields")?,
+        report: fields(s)?,
     };
     let zone = word(s, "zone")?;
     let zone = names.zones.iter().position(|z| z == zone).ok_or_else(|| wrong("zone", &s["zone"]))?;
 
-    let per_type = |path: &str| -> Result<&[Value], Malformed> {
+    let one_each = |path: &str, of: &[String]| -> Result<&[Value], Malformed> {
         let values = list(s, path)?;
-        if values.len() == names.types.len() { Ok(values) } else { Err(wrong(path, at(s, path)?)) }
+        if values.len() == of.len() { Ok(values) } else { Err(wrong(path, at(s, path)?)) }
     };
-    let aims = per_type("specifics.aimUsPer1000PromptTokens")?.iter();
-    let paces = per_type("specifics.tokenAim")?.iter();
+    let aims = one_each("specifics.aimUsPer1000PromptTokens", &names.types)?.iter();
+    let paces = one_each("specifics.tokenAim", &names.types)?.iter();
     let lanes = list(s, "lanes")?.iter();
-    let types = lanes.zip(aims.zip(paces)).map(|(lane, (aim, pace))| traffic_type(lane, aim, pace));
+    let types = lanes.zip(aims.zip(paces)).enumerate().map(|(n, (lane, (aim, pace)))| {
+        traffic_type(lane, aim, pace).map_err(|what| format!("lanes[{n}]: {what}"))
+    });
 
-    let (roles, memories) = (words(s, "specifics.kindRole")?, list(s, "specifics.memoryTokens")?);
-    if roles.len() != names.kinds.len() || memories.len() != names.kinds.len() {
-        return Err(wrong("specifics.kindRole", at(s, "specifics.kindRole")?));
-    }
-    let kinds = roles.iter().zip(memories).map(|(role, memory)| {
+    let roles = one_each("specifics.kindRole", &names.kinds)?.iter();
+    let memories = one_each("specifics.memoryTokens", &names.kinds)?;
+    let kinds = roles.zip(memories).map(|(role, memory)| {
         let role = match role.as_str() {
-            "read" => Role::Reader,
-            "write" => Role::Writer,
-            "both" => Role::Mixed,
-            _ => return Err(wrong("specifics.kindRole", &s["specifics"]["kindRole"])),
+            Some("read") => Role::Reader,
+            Some("write") => Role::Writer,
+            Some("both") => Role::Mixed,
+            _ => return Err(wrong("specifics.kindRole", role)),
         };
         let memory_tokens =
             memory.as_f64().filter(|m| *m >= 1.0).ok_or_else(|| wrong("specifics.memoryTokens", memory))?;
         Ok(Kind { role, memory_tokens })
     });
-    let tenants = list(s, "orgs")?.iter().map(|org| Ok(Tenant { per_second: number(org, "quotaRps")? }));
+    let tenants = each("orgs", orgs, |org| Ok(Tenant { per_second: number(org, "quotaRps")? }))?;
+    let discovery = match word(s, "membershipMode")? {
+        "pushed" => Discovery::Pushed,
+        "on_request" => Discovery::Asked,
+        _ => return Err(wrong("membershipMode", &s["membershipMode"])),
+    };
 
     let deployment = Deployment {
         gateways: nanos(s, "balancers")?.max(1) as usize,
         zone: ZoneId(zone),
         types: types.collect::<Result<_, _>>()?,
         kinds: kinds.collect::<Result<_, Malformed>>()?,
-        tenants: tenants.collect::<Result<_, Malformed>>()?,
-        over_share_utility: number(s, "overShareWorth")?,
+        tenants,
+        over_share_utility: if orgs.is_empty() { 1.0 } else { number(s, "overShareWorth")? },
         weights: match word(s, "weights")? {
             "nominal" | "rough" => Weights::Size,
-            _ => Weights::Unused,
+            // Live ones hold load that the reports tell already, as it was a while back.
+            "off" | "live" => Weights::Unused,
+            _ => return Err(wrong("weights", &s["weights"])),
         },
-        discovery: match word(s, "membershipMode")? {
-            "pushed" => Discovery::Pushed,
-            "on_request" => Discovery::Asked,
-            _ => return Err(wrong("membershipMode", &s["membershipMode"])),
+        discovery,
+        ask_within: match discovery {
+            Discovery::Pushed => 0,
+            Discovery::Asked => nanos(s, "rules.askEvery")?,
         },
-        ask_within: nanos(s, "rules.askEvery")?,
         max_attempts: nanos(s, "allowed.maxAttempts")? as usize,
         longest_retry_after: match flag(s, "allowed.retryAfter")? {
             true => Some(nanos(s, "allowed.maxRetryAfter")?),
@@ -149,6 +168,7 @@
         cold_from: number(s, "rules.coldFrom")?,
         cold_multiple: number(s, "rules.overloadFactor")?,
         cold_window: nanos(s, "rules.overloadFor")?.max(1),
+        tick: nanos(s, "tick")?,
     };
     Ok((deployment, names))
 }
--- a/platform-terms/tests/terms.rs
+++ b/platform-terms/tests/terms.rs
@@ -5,9 +5,10 @@
 use petrelshore_conductor::intake::stable_id;
 use petrelshore_platform_terms::config::config;
 use petrelshore_platform_terms::list::listed;
+use petrelshore_platform_terms::load;
 use petrelshore_platform_terms::request::sequence;
-use petrelshore_platform_terms::settings::Names;
-use serde_json::json;
+use petrelshore_platform_terms::settings::{Names, settings};
+use serde_json::{Value, json};
 
 const S: Nanos = 1_000_000_000;
 
@@ -18,7 +19,7 @@
         tenants: vec![],
         zones: of(&["east", "west"]),
         kinds: of(&["reader", "writer"]),
-        report: of(&["x0"]),
+        report: vec![],
     }
 }
 
@@ -88,3 +89,100 @@
     }
     assert!(config(good).unwrap_err().contains("settings"));
 }
+
+fn given() -> Value {
+    json!({"allowed": {"maxAttempts": 3, "maxRetryAfter": 2 * S, "retryAfter": true, "peers": false},
+        "balancers": 4, "dcs": ["east", "west"], "kinds": ["round", "reader"], "membershipMode": "on_request",
+        "lanes": [
+            {"aim": S, "name": "chat", "semantics": "free", "streamed": true, "worth": 2.0},
+            {"aim": S, "name": "unlock", "semantics": "single_shot", "streamed": false, "worth": 1.0},
+            {"aim": S, "dedupScope": "zone", "name": "order", "semantics": "guarded", "streamed": true,
+             "window": 3 * S, "worth": 1.0}],
+        "orgs": [{"name": "one", "portion": 0.5, "quotaRps": 3.5}], "overShareWorth": 0.1,
+        "report": {"fields": ["outstanding", "x1", "x0"], "how": "inline"},
+        "rules": {"askEvery": S, "cold": 5 * S, "coldFrom": 0.3, "overloadFactor": 2.5, "overloadFor": S},
+        "specifics": {"aimUsPer1000PromptTokens": [40000.0, 0, 0], "kindRole": ["both", "read"],
+            "memoryTokens": [200000, 1e5], "readInPlace": false, "releaseWithin": S / 2,
+            "reportX0": "thousands of prompt tokens waiting to be read or fetched", "reportX1": "the weather",
+            "tokenAim": [S / 20, 0, 0]},
+        "tick": 4_000_000, "weights": "live", "zone": "west"})
+}
+
+/// Every place of a setting, down to the single values.
+fn places(value: &Value, at: &str, all: &mut Vec<String>) {
+    let under = |key: &str| format!("{at}/{key}");
+    match value {
+        Value::Object(object) => object.iter().for_each(|(key, value)| {
+            all.push(under(key));
+            places(value, &under(key), all);
+        }),
+        Value::Array(array) => array.iter().enumerate().for_each(|(n, value)| {
+            all.push(under(&n.to_string()));
+            places(value, &under(&n.to_string()), all);
+        }),
+        _ => {}
+    }
+}
+
+#[test]
+fn each_setting_that_is_missing_or_of_another_form_is_named_and_unknown_ones_are_passed_over() {
+    let (good, names) = settings(&given()).unwrap();
+    let zone = Effect::Tokened { scope: Scope::Zone, window: 3 * S };
+    assert_eq!([0, 1, 2].map(|n| good.types[n].effect), [Effect::Repeatable, Effect::OnceOnly, zone]);
+    assert_eq!([0, 1].map(|n| good.types[n].delivery), [Delivery::Streamed, Delivery::Whole]);
+    assert_eq!((good.weights, good.tick, good.ask_within), (Weights::Unused, 4_000_000, S));
+    let told = load::row("7,3,2", &names.report).unwrap();
+    assert_eq!((told.memory_share, told.queued_prompt_tokens), (None, Some(2000.0)), "as the texts say");
+
+    // Read nowhere: whatever they hold changes nothing.
+    let unread = ["peers", "portion"];
+    let mut all = Vec::new();
+    places(&given(), "", &mut all);
+    for place in all {
+        let (parent, key) = place.rsplit_once('/').unwrap();
+        let field = place.rsplit('/').find(|key| key.parse::<usize>().is_err()).unwrap();
+        let said = |changed: &Value| settings(changed).map(|_| ());
+        for wrong in [json!({"a": 1}), json!("?"), json!(-1), json!(1e300), json!(null), json!([[]])] {
+            let mut changed = given();
+            *changed.pointer_mut(&place).unwrap() = wrong.clone();
+            let fits = unread.contains(&field)
+                // A name may be any word, a number any that is not negative, a text any that nobody knows.
+                || (wrong == json!("?") && ["name", "kinds", "dcs", "fields", "reportX0", "reportX1"].contains(&field))
+                || (wrong == json!(1e300)
+                    && ["worth", "quotaRps", "coldFrom", "overloadFactor", "overShareWorth", "memoryTokens",
+                        "aimUsPer1000PromptTokens"].contains(&field));
+            let named = match said(&changed) {
+                Ok(()) => fits,
+                Err(what) => what.contains(field) || (field == "dcs" && what.contains("zone")),
+            };
+            assert!(named, "{place} as {wrong}: {:?}", said(&changed));
+        }
+        if key.parse::<usize>().is_err() {
+            let mut changed = given();
+            changed.pointer_mut(parent).unwrap().as_object_mut().unwrap().remove(key);
+            // A site may define no tenants.
+            let may_miss = unread.contains(&key) || key == "orgs";
+            let named = said(&changed).map_or_else(|what| what.contains(key), |()| may_miss);
+            assert!(named, "{place} missing: {:?}", said(&changed));
+        }
+    }
+    let mut later = given();
+    later["rules"]["later"] = json!([1]);
+    later["later"] = json!({"x": 1});
+    settings(&later).unwrap();
+}
+
+#[test]
+fn what_a_build_does_not_have_need_not_be_told() {
+    let mut plain = given();
+    let rules = plain["rules"].as_object_mut().unwrap();
+    rules.remove("askEvery");
+    plain["membershipMode"] = json!("pushed");
+    plain["report"] = json!({"how": "off"});
+    plain["orgs"] = json!([]);
+    plain["allowed"] = json!({"maxAttempts": 1, "retryAfter": false});
+    plain.as_object_mut().unwrap().remove("overShareWorth");
+    let (deployment, names) = settings(&plain).unwrap();
+    assert_eq!((deployment.max_attempts, deployment.longest_retry_after), (1, None));
+    assert!(deployment.tenants.is_empty() && names.report.is_empty());
+}
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -285,6 +285,7 @@
                 / 1000,
             token_pace: d.time(&at("token_pace"), &t.token_pace),
             effect,
+            delivery: Delivery::Streamed,
         });
         traffic.push(Traffic {
             name: name.clone(),
@@ -337,6 +338,7 @@
         cold_from: record.cold.from,
         cold_multiple: record.cold.multiple,
         cold_window: d.time("cold.window", &record.cold.window).max(1),
+        tick: 0,
     };
     let abandon_times: Vec<Nanos> = traffic.iter().map(|t| t.abandon_time).collect();
     for finding in terms::check(&deployment, &abandon_times) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -169,7 +169,8 @@
     times: [FadingTimes; 4],
     /// Attempts of late that failed, of all servers together.
     failed: BTreeMap<Stream, FadingShare>,
-    admitted: DecayingSum,
+    /// Sequences admitted of late: those read at a reader first, and those taken whole.
+    admitted: [DecayingSum; 2],
     tenants: Vec<DecayingSum>,
     /// Time that reads took, and the prompt work they were sent into.
     read_time: DecayingSum,
@@ -191,7 +192,7 @@
             usual: [None; 3],
             times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
             failed: BTreeMap::new(),
-            admitted: DecayingSum::new(HALF_LIFE),
+            admitted: std::array::from_fn(|_| DecayingSum::new(HALF_LIFE)),
             tenants: vec![DecayingSum::new(HALF_LIFE); deployment.tenants.len()],
             read_time: DecayingSum::new(READ_LIFE),
             read_tokens: DecayingSum::new(READ_LIFE),
@@ -228,7 +229,7 @@
     pub fn refused(&mut self) -> Nanos {
         self.refusals = (self.refusals + 1).min(4);
         let pause = ((SHUN / 4) << self.refusals).min(self.deployment.ask_within / 2);
-        (pause as f64 * (0.5 + 0.5 * self.chance.rand_float())) as Nanos
+        ((pause as f64 * (0.5 + 0.5 * self.chance.rand_float())) as Nanos).max(self.recheck())
     }
 
     /// A server has told its load.
@@ -248,7 +249,7 @@
         if let Some(TenantId(tenant)) = seq.tenant.filter(|_| first && seq.arrived == now) {
             self.tenants[tenant].add(now, 1.0);
         }
-        if now + RECHECK >= seq.abandon_at || self.spent(seq) || self.pinned(now, seq) {
+        if now + self.recheck() >= seq.abandon_at || self.spent(now, seq) || self.pinned(now, seq) {
             return self.give_up(now, seq);
         }
         // Guards against asking for a state that went with its reader, or with a writer whose answer went
@@ -267,12 +268,15 @@
         };
         let whole = || self.pick_whole(now, seq).filter(|_| state.is_none());
         let Some((server, step)) = picked.or_else(whole) else {
-            return if self.may_hold(now, seq) { Schedule::NotYet } else { self.give_up(now, seq) };
+            let hold = self.may_go_on(seq, state.is_some()) && self.may_hold(now, seq);
+            return if hold { Schedule::NotYet } else { self.give_up(now, seq) };
         };
         if first && self.overloaded(now, seq, server, step) {
             return self.give_up(now, seq);
         }
-        self.admitted.add(now, if first { 1.0 } else { 0.0 });
+        if first {
+            self.admitted[usize::from(step == Step::Whole)].add(now, 1.0);
+        }
         seq.admitted = true;
         self.send(now, seq, server, step);
         Schedule::Send(server)
@@ -290,7 +294,8 @@
         self.learn(now, seq, &attempt, got, began);
         if last || seq.ended {
             seq.ended = true;
-            return Settled::Ended { release: got != Outcome::Generated };
+            // A first token lets go of all that is held elsewhere; an answer that came whole does not.
+            return Settled::Ended { release: got != Outcome::Generated || !began };
         }
         match got {
             Outcome::ReadDone { .. } => seq.state = Some((attempt.server, now)),
@@ -306,10 +311,13 @@
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         let left = seq.abandon_at.saturating_sub(now);
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
-            return RECHECK.min(left);
+            return self.recheck().min(left);
         };
-        if attempt.step != Step::Read && self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly {
-            return left; // a time-out proves nothing: only an answer lets a once-only sequence end well
+        let once = self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly;
+        if (attempt.step != Step::Read && once) || !self.shows(seq, attempt.step) {
+            // A time-out proves nothing: only an answer lets a once-only sequence end well. And the times of
+            // first tokens say nothing of an answer that comes whole.
+            return left;
         }
         let work = self.read_wait(now, attempt.tokens);
         let fellows = self.usual[self.role(&self.servers[&attempt.server]) as usize].map(|(_, high)| high);
@@ -365,7 +373,7 @@
 
     /// The server with the least of a measure, of those that have one and may be sent this; ties go by lot.
     fn least(&self, now: Nanos, seq: &Sequence, by: impl Fn(&Server) -> Option<f64>) -> Option<ServerId> {
-        let open = self.servers.values().filter(|s| self.allowed(now, s) && self.in_scope(now, seq, s));
+        let open = self.servers.values().filter(|s| self.allowed(now, s) && self.in_scope(seq, s));
         let least = open.filter_map(|s| Some((by(s)?, s)));
         let least = least.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.lot.total_cmp(&y.lot)));
         least.map(|(_, server)| server.listing.server)
@@ -453,7 +461,9 @@
     fn pick_writer(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<(ServerId, Step)> {
         let chance = self.chance.rand_float();
         let home = &self.servers[&reader].listing;
-        let near = |s: &Server| s.listing.cell == home.cell && self.role(s) == Role::Writer;
+        let no_writers = self.cells.values().all(|cell| cell.writers <= 0.0);
+        let writes = |s: &Server| self.role(s) == Role::Writer || (no_writers && self.role(s) == Role::Mixed);
+        let near = |s: &Server| s.listing.cell == home.cell && writes(s);
         let sound =
             |s: &Server| self.role(s) != Role::Reader && self.ready(now, s) && self.has_room(now, s, seq);
         let known = self.servers.values().filter(|s| near(s)).map(|s| self.fresh(now, s)).fold(0.0, f64::max);
@@ -501,8 +511,7 @@
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
     fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
-        let whole = |role| role == Role::Mixed || (role == Role::Writer && self.deployment.writers_read);
-        let open = |s: &Server| whole(self.role(s)) && self.ready(now, s);
+        let open = |s: &Server| self.takes_whole(self.role(s)) && self.ready(now, s);
         let least = self.least(now, seq, |s| open(s).then(|| self.decode_load(now, s)));
         least.map(|server| (server, Step::Whole))
     }
@@ -689,10 +698,26 @@
         self.deployment.max_attempts.min(2 + (further * self.utility(seq)).ceil() as usize)
     }
 
-    /// Nothing further: its attempts are used up, or it is once-only and one may have run.
-    fn spent(&self, seq: &Sequence) -> bool {
-        let once = self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly;
-        seq.attempts.len() >= self.most_attempts(seq) || (once && self.maybe_ran(seq).is_some())
+    /// Nothing further: its attempts are used up, or one may have run and it is once-only, or its group's window
+    /// is over.
+    fn spent(&self, now: Nanos, seq: &Sequence) -> bool {
+        let over = |first: &Attempt| match self.deployment.types[seq.traffic.0].effect {
+            Effect::Repeatable => false,
+            Effect::Tokened { window, .. } => now >= first.sent.saturating_add(window),
+            Effect::OnceOnly => true,
+        };
+        seq.attempts.len() >= self.most_attempts(seq) || self.maybe_ran(seq).is_some_and(over)
+    }
+
+    /// Whether the attempts left can end in an answer, by the roles there are. Guards against holding what no
+    /// server that may come would change.
+    fn may_go_on(&self, seq: &Sequence, state: bool) -> bool {
+        let whole = self.deployment.kinds.iter().any(|kind| self.takes_whole(kind.role));
+        seq.attempts.len() + if state || whole { 1 } else { 2 } <= self.most_attempts(seq)
+    }
+
+    fn takes_whole(&self, role: Role) -> bool {
+        role == Role::Mixed || (role == Role::Writer && self.deployment.writers_read)
     }
 
     /// The first attempt that may have taken effect. Reads have none.
@@ -704,25 +729,31 @@
         })
     }
 
-    /// Tokened: once an attempt may have run, only within the group that knows its repeats, and in its time.
-    fn in_scope(&self, now: Nanos, seq: &Sequence, server: &Server) -> bool {
-        let Effect::Tokened { scope, window } = self.deployment.types[seq.traffic.0].effect else {
+    /// Tokened: once an attempt may have run, only within the group that knows its repeats.
+    fn in_scope(&self, seq: &Sequence, server: &Server) -> bool {
+        let Effect::Tokened { scope, .. } = self.deployment.types[seq.traffic.0].effect else {
             return true;
         };
-        let Some(first) = self.maybe_ran(seq) else { return true };
-        let Some(known) = self.servers.get(&first.server) else { return false };
-        now < first.sent + window
-            && match scope {
-                Scope::All => true,
-                Scope::Zone => known.listing.zone == server.listing.zone,
-                Scope::Cell => known.listing.cell == server.listing.cell,
-            }
+        let Some(first) = self.maybe_ran(seq).filter(|_| scope != Scope::All) else { return true };
+        self.servers.get(&first.server).is_some_and(|Server { listing, .. }| match scope {
+            Scope::All => true,
+            Scope::Zone => listing.zone == server.listing.zone,
+            Scope::Cell => listing.cell == server.listing.cell,
+        })
     }
 
-    /// A sequence that nothing can take is held for part of its SLO, its state within the time to release.
+    /// A sequence that nothing can take is held for part of its SLO, or of its client's time where that is
+    /// shorter, its state within the time to release, and always so that the next look comes in time.
     fn may_hold(&self, now: Nanos, seq: &Sequence) -> bool {
-        let until = seq.arrived.saturating_add((self.slo(seq) as f64 * HOLD) as Nanos);
-        now < until && !self.pinned(now + RECHECK, seq)
+        let whole = self.slo(seq).min(seq.abandon_at.saturating_sub(seq.arrived));
+        let until = seq.arrived.saturating_add((whole as f64 * HOLD) as Nanos);
+        let next = now + self.recheck();
+        now < until && next + self.deployment.tick < seq.abandon_at && !self.pinned(next, seq)
+    }
+
+    /// Pause before another look; no timer comes sooner than the clock moves.
+    fn recheck(&self) -> Nanos {
+        RECHECK.max(self.deployment.tick)
     }
 
     /// Until when what is held may wait for a server: half the time to release, the other is for the release.
@@ -731,24 +762,26 @@
     }
 
     fn pinned(&self, now: Nanos, seq: &Sequence) -> bool {
-        self.held_until(seq).is_some_and(|until| now + RECHECK >= until)
+        let margin = self.recheck().min(self.deployment.release_within / 4);
+        self.held_until(seq).is_some_and(|until| now + margin >= until)
     }
 
     /// The final answer: a rejection where a retry is provably harmless, an abort elsewhere.
     fn give_up(&self, now: Nanos, seq: &mut Sequence) -> Schedule {
         let release = !seq.attempts.is_empty();
-        let harmless = match (self.maybe_ran(seq), self.deployment.types[seq.traffic.0].effect) {
-            (None, _) | (_, Effect::Repeatable) => true,
-            (Some(first), Effect::Tokened { scope: Scope::All, window }) => now < first.sent + window,
-            _ => false,
+        let harmless_until = match (self.maybe_ran(seq), self.deployment.types[seq.traffic.0].effect) {
+            (None, _) | (_, Effect::Repeatable) => Nanos::MAX,
+            (Some(first), Effect::Tokened { scope: Scope::All, window }) => first.sent.saturating_add(window),
+            _ => now,
         };
         (seq.ended, seq.state, seq.held_since) = (true, None, None);
-        if harmless {
-            let longest = self.deployment.longest_retry_after;
-            Schedule::Rejected { retry_after: longest.map(|most| most.min(self.slo(seq) / 2)), release }
-        } else {
-            Schedule::Aborted { release }
+        if now >= harmless_until {
+            return Schedule::Aborted { release };
         }
+        // No client is sent away past the time in which its coming again is harmless.
+        let most = (self.slo(seq) / 2).min((harmless_until - now) / 2);
+        let retry_after = self.deployment.longest_retry_after.map(|longest| longest.min(most));
+        Schedule::Rejected { retry_after, release }
     }
 
     /// Books an attempt: its load, the text its reader will keep, and its place in a cold server's budget.
@@ -756,6 +789,7 @@
         let server = &self.servers[&id];
         let shared = self.shared(now, seq);
         let (work, credit) = (self.read_work(now, server, seq, shared), self.credit(server, seq, shared));
+        let shows = self.shows(seq, step);
         let stream = self.stream_tokens(seq);
         let room = self.memory(server) / self.deployment.gateways as f64;
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -780,7 +814,7 @@
             }
         }
         let own = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
-        server.out.push(Out { seq: seq.id, sent: now, tokens: own, waiting: true });
+        server.out.push(Out { seq: seq.id, sent: now, tokens: own, waiting: shows });
         let tokens = if step == Step::Read { work } else { own };
         seq.attempts.push(Attempt {
             server: id,
@@ -794,15 +828,17 @@
     }
 
     /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
-    /// carries of its admitted sequences stands for capacity; all gateways keep the same part. There is no
-    /// floor, and the first send waits for a part of the pause drawn by lot: over hundreds of gateways both
-    /// add up.
+    /// carries of its admitted sequences stands for capacity, of a reader only of those that were read first;
+    /// all gateways keep the same part. There is no floor, and the first send waits for a part of the pause
+    /// drawn by lot: over hundreds of gateways both add up.
     fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
         let reads = |s: &Server| self.role(s) == Role::Reader;
         let pool = self.servers.values().filter(|s| reads(s) == reads(server));
         let there = pool.filter(|s| s.listing.condition != Condition::Gone);
         let weight: f64 = there.map(|s| self.weight(s)).sum();
-        let fair = self.admitted.per_second(now, self.started) * self.weight(server) / weight.max(1e-9);
+        let [read, whole] = [0, 1].map(|taken| self.admitted[taken].per_second(now, self.started));
+        let carried = if reads(server) { read } else { read + whole };
+        let fair = carried * self.weight(server) / weight.max(1e-9);
         let present = self.present(now, server);
         let most = COLD_SAFE * self.deployment.cold_multiple * self.deployment.cold_from;
         (server.cold_part * 1e9 / (fair * most.min(COLD_PART * present)).max(1e-9)) as Nanos
@@ -815,11 +851,13 @@
     }
 
     fn learn(&mut self, now: Nanos, seq: &Sequence, attempt: &Attempt, outcome: Outcome, began: bool) {
+        let shows = self.shows(seq, attempt.step);
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
         server.out.retain(|out| out.seq != seq.id);
         use Outcome::*;
-        let time = if matches!(outcome, ReadDone { .. } | TimedOut) && !began { rtt as f64 } else { 0.0 };
+        let timed = matches!(outcome, ReadDone { .. } | TimedOut) && !began && shows;
+        let time = if timed { rtt as f64 } else { 0.0 };
         if time > 0.0 {
             self.times[attempt.step as usize].add(now, time);
         }
@@ -845,11 +883,16 @@
             // One connection that breaks may be all that broke; nobody there shows at the next one.
             Reset => server.paused_until = server.paused_until.max(now + REPORT_LAG),
             ConnectFailed => server.paused_until = now + SHUN,
-            TimedOut if attempt.step != Step::Move => server.times.add(now, rtt as f64),
+            TimedOut if shows && attempt.step != Step::Move => server.times.add(now, rtt as f64),
             TimedOut | Cancelled | NeverSent => {}
         }
     }
 
+    /// Whether a step shows that it goes well before all of it is done: an answer that comes whole does not.
+    fn shows(&self, seq: &Sequence, step: Step) -> bool {
+        step == Step::Read || self.deployment.types[seq.traffic.0].delivery == Delivery::Streamed
+    }
+
     fn role(&self, server: &Server) -> Role {
         self.deployment.kinds[server.listing.kind.0].role
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,6 +43,8 @@
     pub cold_from: f64,
     pub cold_multiple: f64,
     pub cold_window: Nanos,
+    /// A timer may come this much later than it was asked for.
+    pub tick: Nanos,
 }
 
 #[derive(Clone, Debug)]
@@ -52,6 +54,16 @@
     pub slo_per_prompt_token: Nanos,
     pub token_pace: Nanos,
     pub effect: Effect,
+    pub delivery: Delivery,
+}
+
+/// What shows of an answer before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// Its first token, and each one after.
+    Streamed,
+    /// Nothing.
+    Whole,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/tests/builds.rs
@@ -0,0 +1,264 @@
+//! Deployments of other builds: what settings may say beside readers, writers and streamed answers.
+
+mod common;
+
+use common::*;
+use petrelshore::Brain;
+use petrelshore::interface::*;
+
+fn rejected(answer: Schedule) -> Option<Nanos> {
+    match answer {
+        Schedule::Rejected { retry_after, .. } => retry_after,
+        other => panic!("not rejected: {other:?}"),
+    }
+}
+
+/// Mixed servers alone, in two cells.
+fn all_mixed() -> Vec<Listing> {
+    (0..4).map(|n| entry(n, 2, (n / 2) as i64)).collect()
+}
+
+#[test]
+fn the_end_of_an_answer_that_comes_whole_lets_go_of_what_earlier_reads_left() {
+    for (delivery, lets_go) in [(Delivery::Whole, true), (Delivery::Streamed, false)] {
+        let mut settings = deployment();
+        settings.types[0].delivery = delivery;
+        let (mut brain, mut seq) = (brain(settings, &fleet()), sequence(1, 0, START));
+        sent(brain.schedule(START, &mut seq));
+        close(&mut brain, START + 500 * MS, &mut seq, Outcome::TimedOut);
+        read(&mut brain, START + 500 * MS, &mut seq, 50 * MS);
+        sent(brain.schedule(START + 550 * MS, &mut seq));
+        if delivery == Delivery::Streamed {
+            brain.began(START + 600 * MS, &mut seq, 2);
+        }
+        let end = close(&mut brain, START + 700 * MS, &mut seq, Outcome::Generated);
+        assert_eq!(end, Settled::Ended { release: lets_go }, "{delivery:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_comes_whole_has_its_clients_time_and_its_server_is_not_taken_for_silent() {
+    let mut settings = deployment();
+    settings.types[0].delivery = Delivery::Whole;
+    let mut brain = brain(settings, &all_mixed());
+    for id in 0..12 {
+        let mut known = sequence(id, 2, START);
+        sent(brain.schedule(START, &mut known));
+        brain.began(START + 20 * MS, &mut known, 0);
+        close(&mut brain, START + 30 * MS, &mut known, Outcome::Generated);
+    }
+    let (now, mut seq) = (START + 40 * MS, sequence(20, 0, START + 40 * MS));
+    let server = sent(brain.schedule(now, &mut seq));
+    assert_eq!(brain.wait(now, &seq), seq.abandon_at - now);
+    // A second later nothing has shown; its server still takes its part, one stream behind the others.
+    let mut next: Vec<ServerId> = Vec::new();
+    for id in 30..34 {
+        let mut seq = sequence(id, 2, now + 1000 * MS);
+        next.push(sent(brain.schedule(now + 1000 * MS, &mut seq)));
+        brain.began(now + 1001 * MS, &mut seq, 0);
+    }
+    assert!(next.contains(&server), "{next:?} without {server:?}");
+}
+
+#[test]
+fn a_look_that_comes_a_tick_late_still_comes_before_the_clients_time_is_up() {
+    for tick in [4 * MS, 15 * MS, 60 * MS, 200 * MS] {
+        for budget in (20..400).step_by(7) {
+            let mut brain = brain(Deployment { tick, ..deployment() }, &[]);
+            let (mut now, mut seq) = (START, sequence(1, 0, START));
+            seq.abandon_at = START + budget * MS;
+            while brain.schedule(now, &mut seq) == Schedule::NotYet {
+                now += brain.wait(now, &seq) + tick - 1;
+            }
+            assert!(now < seq.abandon_at, "{tick} {budget}");
+        }
+    }
+}
+
+#[test]
+fn a_sequence_is_not_held_till_its_clients_short_time_is_nearly_up() {
+    let (mut brain, mut now) = (brain(deployment(), &[]), START);
+    let mut seq = sequence(1, 0, START);
+    seq.abandon_at = START + 400 * MS;
+    while brain.schedule(now, &mut seq) == Schedule::NotYet {
+        now += brain.wait(now, &seq);
+    }
+    assert!(now <= START + 220 * MS, "half of its time, not of its SLO");
+}
+
+#[test]
+fn what_too_few_attempts_have_decided_is_answered_at_once_and_not_held() {
+    // A read alone can't end in an answer, and no kind here does both.
+    let two = vec![deployment().kinds[0].clone(), deployment().kinds[1].clone()];
+    let one = Deployment { max_attempts: 1, kinds: two.clone(), ..deployment() };
+    rejected(brain(one.clone(), &fleet()).schedule(START, &mut sequence(1, 0, START)));
+    let whole = Deployment { writers_read: true, ..one };
+    let mut seq = sequence(1, 0, START);
+    let writer = sent(brain(whole, &fleet()).schedule(START, &mut seq));
+    assert!(writer.0 % 3 > 0 && seq.attempts[0].step == Step::Whole);
+    // The state is gone, and one attempt is left.
+    let three = Deployment { max_attempts: 3, kinds: two, ..deployment() };
+    let (mut brain, mut seq) = (brain(three, &fleet()), sequence(1, 0, START));
+    read(&mut brain, START, &mut seq, 10 * MS);
+    sent(brain.schedule(START + 10 * MS, &mut seq));
+    close(&mut brain, START + 20 * MS, &mut seq, Outcome::NoState);
+    rejected(brain.schedule(START + 20 * MS, &mut seq));
+}
+
+#[test]
+fn a_tokened_sequence_ends_with_its_window_and_sends_no_client_past_it() {
+    for (traffic, first, second) in [(2, 1900, 2000), (3, 1999, 2000)] {
+        let (mut brain, mut seq) = (brain(deployment(), &fleet()), sequence(1, traffic, START));
+        seq.abandon_at = START + 9000 * MS;
+        read(&mut brain, START, &mut seq, 0);
+        let writer = sent(brain.schedule(START, &mut seq));
+        close(&mut brain, START + 100 * MS, &mut seq, Outcome::Error);
+        let mut late = seq.clone();
+        // Nothing that may take it is left, until its window is over.
+        let gone: Vec<Listing> =
+            fleet().iter().map(|l| Listing { condition: Condition::Draining, ..l.clone() }).collect();
+        brain.listed(START + 100 * MS, ListScope::Changes, &gone);
+        let in_time = brain.schedule(START + first * MS, &mut seq);
+        if traffic == 2 {
+            let pause = rejected(in_time).unwrap();
+            assert!(first * MS + pause < 2000 * MS, "comes back {pause} later");
+        }
+        brain.listed(START + 200 * MS, ListScope::Changes, &fleet());
+        assert!(
+            brain.schedule(START + second * MS, &mut late) == Schedule::Aborted { release: true },
+            "{writer:?}"
+        );
+    }
+}
+
+#[test]
+fn a_time_to_release_that_is_hardly_longer_than_a_look_still_lets_states_be_sent_on() {
+    for release_within in [30 * MS, 60 * MS, 100 * MS] {
+        let mut brain = brain(Deployment { release_within, ..deployment() }, &fleet());
+        let mut seq = sequence(1, 0, START);
+        read(&mut brain, START, &mut seq, 50 * MS);
+        sent(brain.schedule(START + 50 * MS, &mut seq));
+    }
+}
+
+#[test]
+fn a_cold_reader_beside_mixed_servers_gets_its_part_of_what_readers_read() {
+    let mut list: Vec<Listing> = (2..6).map(|n| entry(n, 2, 0)).collect();
+    list.extend([entry(0, 0, 0), entry(1, 0, 0), entry(6, 1, 0)]);
+    let (mut brain, mut reads, mut cold) = (brain(deployment(), &list), 0, Vec::new());
+    // Of nine in ten sequences that mixed servers take whole, readers know nothing.
+    for id in 0..400u64 {
+        let now = START + id * 20 * MS;
+        let busy = id % 10 == 0 || id >= 200;
+        for mixed in 2..6 {
+            let share = if busy { 0.9 } else { 0.0 };
+            brain.reported(now, ServerId(mixed), Report { memory_share: Some(share), ..Report::default() });
+        }
+        brain.reported(now, ServerId(6), Report { memory_share: Some(0.5), ..Report::default() });
+        if id == 200 {
+            brain.listed(
+                now,
+                ListScope::Changes,
+                &[
+                    Listing { since: now, ..entry(0, 0, 0) },
+                    Listing { condition: Condition::Gone, ..entry(1, 0, 0) },
+                ],
+            );
+        }
+        let mut seq = sequence(id, 0, now);
+        let Schedule::Send(server) = brain.schedule(now, &mut seq) else { continue };
+        if seq.attempts[0].step == Step::Whole {
+            brain.began(now, &mut seq, 0);
+            close(&mut brain, now + MS, &mut seq, Outcome::Generated);
+            continue;
+        }
+        reads += u64::from(id < 200);
+        cold.extend((id >= 200 && server == ServerId(0)).then_some(now));
+        close(&mut brain, now + MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        if let Schedule::Send(_) = brain.schedule(now + MS, &mut seq) {
+            brain.began(now + MS, &mut seq, 1);
+            close(&mut brain, now + 2 * MS, &mut seq, Outcome::Generated);
+        }
+    }
+    assert!((15..40).contains(&reads), "{reads} reads in four seconds before");
+    let most = cold.iter().map(|t| cold.iter().filter(|o| *o >= t && **o < t + 1500 * MS).count()).max();
+    // What both readers read in a window, times the multiple and the share at the start.
+    let budget = 2.5 * 0.3 * (reads as f64 / 4.0) * 1.5;
+    assert!(most.is_some_and(|most| most as f64 <= budget + 1.0), "{most:?} of {budget}");
+}
+
+#[test]
+fn where_mixed_servers_write_alone_a_state_stays_in_its_cell() {
+    let list = [entry(0, 0, 0), entry(1, 2, 0), entry(2, 0, 1), entry(3, 2, 1)]
+        .map(|l| Listing { zone: ZoneId(0), ..l });
+    let mut brain = brain(deployment(), &list);
+    for id in 0..8 {
+        let mut seq = sequence(id, 0, START);
+        // Both mixed servers are reading; the one elsewhere holds somewhat less.
+        for mixed in [1, 3] {
+            let share = if mixed == 3 { 0.3 } else { 0.4 };
+            brain.reported(START, ServerId(mixed), Report { memory_share: Some(share), ..Report::default() });
+        }
+        seq.attempts.push(Attempt {
+            server: ServerId(0),
+            sent: START,
+            step: Step::Read,
+            status: Status::Closed(Outcome::ReadDone { kept: 0.0 }),
+            reached: true,
+            tokens: 0.0,
+            credit: 0.0,
+        });
+        (seq.state, seq.held_since) = (Some((ServerId(0), START)), Some(START));
+        assert_eq!(sent(brain.schedule(START, &mut seq)), ServerId(1));
+        brain.began(START, &mut seq, 1);
+        close(&mut brain, START, &mut seq, Outcome::Generated);
+    }
+}
+
+#[test]
+fn a_server_that_is_listed_as_another_kind_serves_as_that_from_then_on() {
+    let (mut brain, mut first) =
+        (brain(deployment(), &[entry(0, 0, 0), entry(1, 1, 0)]), sequence(1, 0, START));
+    read(&mut brain, START, &mut first, 10 * MS);
+    brain.listed(START, ListScope::Changes, &[entry(0, 1, 0), entry(1, 0, 0)]);
+    assert_eq!(sent(brain.schedule(START + 10 * MS, &mut first)), ServerId(0), "the one that writes now");
+    let mut seq = sequence(2, 1, START + 10 * MS);
+    assert_eq!(sent(brain.schedule(START + 10 * MS, &mut seq)), ServerId(1));
+    assert_eq!(seq.attempts[0].step, Step::Read);
+}
+
+#[test]
+fn a_list_that_is_refused_again_and_again_is_never_asked_for_without_a_pause() {
+    let mut brain =
+        Brain::new(START, Deployment { ask_within: 0, discovery: Discovery::Asked, ..deployment() }, 7);
+    assert!((0..10).all(|_| brain.refused() >= 20 * MS));
+}
+
+#[test]
+fn a_cell_that_loses_its_last_server_of_a_role_in_the_middle_ends_in_an_answer_elsewhere() {
+    let mixes: [&[usize]; 4] = [&[0, 1], &[0, 2], &[0, 1, 2], &[2]];
+    for kinds in mixes {
+        let list: Vec<Listing> = (0..2)
+            .flat_map(|cell| {
+                kinds.iter().map(move |kind| entry((cell * 3 + kind) as u64, *kind, cell as i64))
+            })
+            .collect();
+        for lost in 0..3 {
+            let (mut brain, mut seq) = (brain(deployment(), &list), sequence(1, 0, START));
+            let first = sent(brain.schedule(START, &mut seq));
+            let cell = first.0 / 3;
+            let gone =
+                Listing { condition: Condition::Gone, ..entry(cell * 3 + lost, lost as usize, cell as i64) };
+            brain.listed(START, ListScope::Changes, &[gone]);
+            let read = seq.attempts[0].step == Step::Read;
+            close(
+                &mut brain,
+                START + 10 * MS,
+                &mut seq,
+                if read { Outcome::ReadDone { kept: 0.0 } } else { Outcome::Reset },
+            );
+            let next = sent(brain.schedule(START + 10 * MS, &mut seq));
+            assert_ne!(next, ServerId(cell * 3 + lost), "{kinds:?} without {lost}");
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,14 @@
 pub const START: Nanos = 1_000_000 * MS;
 
 pub fn traffic(effect: Effect, utility: f64) -> TrafficType {
-    TrafficType { utility, latency_slo: 1000 * MS, slo_per_prompt_token: 40_000, token_pace: 60 * MS, effect }
+    TrafficType {
+        utility,
+        latency_slo: 1000 * MS,
+        slo_per_prompt_token: 40_000,
+        token_pace: 60 * MS,
+        effect,
+        delivery: Delivery::Streamed,
+    }
 }
 
 /// Kinds 0 to 2 read, write and do both; types 0 to 4 are of every effect.
@@ -39,6 +46,7 @@
         cold_from: 0.3,
         cold_multiple: 2.5,
         cold_window: 1500 * MS,
+        tick: 0,
     }
 }
 
