--- a/src/brain.rs
+++ b/src/brain.rs
@@ -165,6 +165,8 @@
     cells: BTreeMap<CellId, Cell>,
     /// For each role, the high quantile of answer times that its servers have in the middle.
     usual: [Option<(f64, f64)>; 3],
+    /// The mean share of memory that servers which answer have told.
+    told: f64,
     /// Answer times of late, of all servers together, by step.
     times: [FadingTimes; 4],
     /// Attempts of late that failed, of all servers together.
@@ -190,6 +192,7 @@
             surveyed: None,
             cells: BTreeMap::new(),
             usual: [None; 3],
+            told: 0.0,
             times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
             failed: BTreeMap::new(),
             admitted: std::array::from_fn(|_| DecayingSum::new(HALF_LIFE)),
@@ -424,6 +427,9 @@
         }
         self.surveyed = Some(now);
         self.usual = [Role::Reader, Role::Writer, Role::Mixed].map(|role| self.middle_times(now, role));
+        let answering = self.servers.values().filter(|s| self.role(s) != Role::Reader);
+        let told: Vec<f64> = answering.filter_map(|s| self.told_share(now, s)).collect();
+        self.told = told.iter().sum::<f64>() / told.len().max(1) as f64;
         let mut cells: BTreeMap<CellId, Cell> = BTreeMap::new();
         for s in self.servers.values() {
             let part = self.weight(s) * self.present(now, s);
@@ -488,7 +494,7 @@
                 (false, false) => 1.0,
             };
             let last = self.last(now, s, sound(s)) * (1.0 + far);
-            self.decode_load(now, s) + far + self.doubt(now, s, seq) + last
+            self.ranked_load(now, s) + far + self.doubt(now, s, seq) + last
         };
         let writer = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
         let beside = self.servers[&writer].listing.cell == home.cell;
@@ -502,17 +508,17 @@
         let least = |role: Role| {
             let open = |s: &Server| self.role(s) == role && self.ready(now, s) && self.has_room(now, s, seq);
             let idle = |s: &Server| role == Role::Writer || s.out.iter().all(|out| !out.waiting);
-            self.least(now, seq, |s| (open(s) && idle(s)).then(|| self.decode_load(now, s)))
+            self.least(now, seq, |s| (open(s) && idle(s)).then(|| self.ranked_load(now, s)))
         };
         let mixed = least(Role::Mixed)?;
-        let load = |id: ServerId| self.decode_load(now, &self.servers[&id]);
+        let load = |id: ServerId| self.ranked_load(now, &self.servers[&id]);
         least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then_some((mixed, Step::Whole))
     }
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
     fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
         let open = |s: &Server| self.takes_whole(self.role(s)) && self.ready(now, s);
-        let least = self.least(now, seq, |s| open(s).then(|| self.decode_load(now, s)));
+        let least = self.least(now, seq, |s| open(s).then(|| self.ranked_load(now, s)));
         least.map(|server| (server, Step::Whole))
     }
 
@@ -600,17 +606,27 @@
         self.decode_load(now, server) + self.stream_tokens(seq) / self.memory(server) <= FULL
     }
 
+    fn told_share(&self, now: Nanos, server: &Server) -> Option<f64> {
+        let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
+        server.report.memory_share.map(|share| share * (-(age as f64) / HALF_LIFE as f64).exp2())
+    }
+
     /// The reported share of memory with own streams since, never less than all own streams out. A report
     /// that nothing of ours will renew fades, or a server once full would never be tried again.
     fn decode_load(&self, now: Nanos, server: &Server) -> f64 {
         let own = server.own_tokens(0) / self.memory(server);
-        let Some(share) = server.report.memory_share else { return own };
-        let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
-        let share = share * (-(age as f64) / HALF_LIFE as f64).exp2();
+        let Some(share) = self.told_share(now, server) else { return own };
         let since = server.own_tokens(server.reported.saturating_sub(REPORT_LAG)) / self.memory(server);
         own.max(share + since)
     }
 
+    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of those
+    /// that have, so that none is the least loaded by being unknown. It says nothing of its room.
+    fn ranked_load(&self, now: Nanos, server: &Server) -> f64 {
+        let unknown = if server.report.memory_share.is_none() { self.told } else { 0.0 };
+        self.decode_load(now, server) + unknown
+    }
+
     /// Queued prompt tokens, reported or own, and this prompt less what the reader should have kept of it.
     fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence, shared: f64) -> f64 {
         let own = server.own_tokens(0);
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -95,7 +95,7 @@
     let whole = Deployment { writers_read: true, ..one };
     let mut seq = sequence(1, 0, START);
     let writer = sent(brain(whole, &fleet()).schedule(START, &mut seq));
-    assert!(writer.0 % 3 > 0 && seq.attempts[0].step == Step::Whole);
+    assert!(!writer.0.is_multiple_of(3) && seq.attempts[0].step == Step::Whole);
     // The state is gone, and one attempt is left.
     let three = Deployment { max_attempts: 3, kinds: two, ..deployment() };
     let (mut brain, mut seq) = (brain(three, &fleet()), sequence(1, 0, START));
@@ -262,3 +262,28 @@
         }
     }
 }
+
+#[test]
+fn a_server_that_has_told_no_load_ranks_as_the_mean_of_those_that_have() {
+    let list = [entry(0, 0, 0), entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
+    let told = |share: f64, other: f64| {
+        let mut brain = brain(deployment(), &list);
+        for (writer, share) in [(1, share), (2, other)] {
+            let memory_share = Some(share);
+            brain.reported(START, ServerId(writer), Report { memory_share, ..Report::default() });
+        }
+        let mut seq = sequence(1, 0, START);
+        read(&mut brain, START, &mut seq, 0);
+        sent(brain.schedule(START, &mut seq))
+    };
+    assert_eq!(told(0.2, 0.6), ServerId(1), "not the one of which nothing is known");
+    assert_eq!(told(1.0, 1.0), ServerId(3), "nor is it full because they are");
+    // No loads at all: own streams alone.
+    let (mut brain, mut writers) = (brain(deployment(), &list), [0; 4]);
+    for id in 0..9 {
+        let mut seq = sequence(id, 0, START);
+        read(&mut brain, START, &mut seq, 0);
+        writers[sent(brain.schedule(START, &mut seq)).0 as usize] += 1;
+    }
+    assert_eq!(writers, [0, 3, 3, 3]);
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -152,7 +152,7 @@
     let mut list = fleet();
     list.push(entry(6, 2, 0));
     let mut brain = brain(deployment(), &list);
-    brain.reported(START, ServerId(1), Report { memory_share: Some(0.5), ..Report::default() });
+    brain.reported(START, ServerId(6), Report { memory_share: Some(0.1), ..Report::default() });
     for writer in [1, 2, 4, 5] {
         brain.reported(START, ServerId(writer), Report { memory_share: Some(0.6), ..Report::default() });
     }
