--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -50,13 +50,24 @@
 
     fn start_as(name: &str, command: impl Fn(&PathBuf) -> Command) -> World {
         let reader = ModelServer::start(true, Manner::Good).unwrap();
+        Self::start_with(name, command, reader, ["reader", "writer"], |text| text)
+    }
+
+    /// Before a server beside a writer, both of these kinds, with a configuration that is changed so.
+    fn start_with(
+        name: &str,
+        command: impl Fn(&PathBuf) -> Command,
+        reader: ModelServer,
+        kinds: [&str; 2],
+        change: impl Fn(String) -> String,
+    ) -> World {
         let writer = ModelServer::start(false, Manner::Good).unwrap();
         let entries =
-            [entry("r", reader.address, "reader", "active"), entry("w", writer.address, "writer", "active")]
+            [entry("r", reader.address, kinds[0], "active"), entry("w", writer.address, kinds[1], "active")]
                 .join(",");
         let agent = Agent::start(&entries).unwrap();
         let file = file(name);
-        std::fs::write(&file, config(loopback(), agent.address, &entries)).unwrap();
+        std::fs::write(&file, change(config(loopback(), agent.address, &entries))).unwrap();
         let mut gateway = command(&file).spawn().unwrap();
         let mut log = BufReader::new(gateway.stderr.take().unwrap());
         let ready = until(&mut log, "ready");
@@ -472,3 +483,78 @@
         world.told(asks(id, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200")
     });
 }
+
+/// The settings of another build: mixed servers alone, no load reports, two attempts, and once-only work beside
+/// repeatable.
+fn all_round(text: String) -> String {
+    let changes = [
+        (r#""kinds":["reader","writer"]"#, r#""kinds":["round"]"#),
+        (r#""kindRole":["read","write"]"#, r#""kindRole":["both"]"#),
+        (r#""memoryTokens":[200000,150000]"#, r#""memoryTokens":[200000]"#),
+        (r#""report":{"fields":["inflight","x0"],"how":"inline"}"#, r#""report":{"how":"off"}"#),
+        (r#""maxAttempts":4"#, r#""maxAttempts":2"#),
+        (r#""aimUsPer1000PromptTokens":[40000.0]"#, r#""aimUsPer1000PromptTokens":[40000.0,0]"#),
+        (r#""tokenAim":[60000000]"#, r#""tokenAim":[60000000,60000000]"#),
+        (
+            r#""lanes":["#,
+            r#""lanes":[{"aim":1200000000,"hardLimit":4000000000,"name":"unlock","semantics":"single_shot",
+                "streamed":true,"worth":1.0},"#,
+        ),
+    ];
+    changes.into_iter().fold(text, |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    })
+}
+
+#[test]
+fn mixed_servers_alone_serve_drain_and_are_lost_by_the_rules() {
+    let first = ModelServer::start(false, Manner::Good).unwrap();
+    let world = World::start_with("round", command, first, ["round"; 2], all_round);
+    let servers = [&world.reader, &world.writer];
+    let ask = |id: u64, kind: &str| {
+        let request =
+            asks(id, "Connection: close\r\n").replace("Req-Kind: chat", &format!("Req-Kind: {kind}"));
+        let told = world.told(request.as_bytes());
+        told.split(' ').nth(1).unwrap_or("nothing").to_owned()
+    };
+    // How often a server has seen an id.
+    let came = |server: &ModelServer, id: u64| {
+        let word = format!("{id:016x}");
+        server.seen().iter().filter(|seen| seen.ends_with(&word)).count()
+    };
+    // Each serves whole: one attempt a sequence, no read before it, nothing to let go of.
+    for id in 0..12 {
+        assert_eq!(ask(id, if id % 2 == 0 { "chat" } else { "unlock" }), "200");
+        assert_eq!(servers.map(|server| came(server, id)).iter().sum::<usize>(), 1);
+    }
+    // The one that was turned to drains: nothing new goes to it once that is told.
+    let first = usize::from(servers[0].seen().len() < servers[1].seen().len());
+    let (leaving, other) = (servers[first], servers[1 - first]);
+    let listed = |status: &str| {
+        let status = |n: usize| if n == first { status } else { "active" };
+        let entries = [0, 1].map(|n| entry(["r", "w"][n], servers[n].address, "round", status(n)));
+        world.agent.set(&entries.join(","));
+    };
+    listed("leaving");
+    world.wait_for("the drain is taken up", || {
+        let (before, id) =
+            (leaving.seen().len(), 100 + leaving.seen().len() as u64 + other.seen().len() as u64);
+        assert_eq!(ask(id, "chat"), "200");
+        leaving.seen().len() == before
+    });
+    // The other is lost. Repeatable work is rejected, and once-only work that may have run is aborted after one attempt.
+    other.set(Manner::Resets);
+    assert_eq!((ask(200, "chat").as_str(), ask(201, "unlock").as_str()), ("503", "502"));
+    assert_eq!((came(leaving, 200) + came(leaving, 201), came(other, 201)), (0, 1));
+    // What provably never ran is rejected, whatever it does.
+    other.set(Manner::Declines);
+    assert_eq!((ask(202, "unlock").as_str(), came(leaving, 202)), ("503", 0));
+    // The one that drained is back, and serves alone.
+    listed("active");
+    other.set(Manner::Fails);
+    world.wait_for("it is found again", || {
+        let id = 300 + leaving.seen().len() as u64 + other.seen().len() as u64;
+        ask(id, "chat") == "200" && came(leaving, id) == 1
+    });
+}
--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -5,6 +5,7 @@
 use petrelshore_conductor::proof::Ending;
 use petrelshore_gateway::Clock;
 use petrelshore_platform_engine::{Call, Client};
+use petrelshore_platform_terms::load::{Field, Measure};
 use petrelshore_stand_in::platform::{Manner, ModelServer, events};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -13,7 +14,8 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 fn client(most: usize) -> Client {
-    Client::new(Clock::start(), most, 15_000_000_000, vec!["x0".to_owned()])
+    let load = Field { name: "x0".to_owned(), measure: Measure::MemoryShare };
+    Client::new(Clock::start(), most, 15_000_000_000, vec![load])
 }
 
 fn call(to: SocketAddr) -> Call {
--- a/platform-terms/src/load.rs
+++ b/platform-terms/src/load.rs
@@ -16,8 +16,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Field {
-    name: String,
-    measure: Measure,
+    pub name: String,
+    pub measure: Measure,
 }
 
 /// The fields of reports, each for what the settings say that it is; none where no loads are told.
