--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,8 +44,8 @@
 const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
 const HOME: f64 = 0.25;
-/// A shared text is at home at so many times its part of all readers, and counts as one of so many texts while
-/// nothing tells.
+/// A shared text is at home at so many times its part of all readers, and counts as one of so many texts
+/// while nothing tells.
 const TEXT_HOMES: f64 = 8.0;
 const FEW_TEXTS: f64 = 10.0;
 /// So much more than its even part may a reader get while nothing is known of moves, and at the most.
@@ -394,8 +394,8 @@
         let own = zones.get(&self.deployment.zone).copied().unwrap_or(0.0);
         let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
         let short = (even - own).max(0.0) / spare.max(1e-9);
-        // A text that many share is kept by some readers, by its part of all reads as far as own sends tell, rather
-        // than pushed out of all.
+        // A text that many share is kept by some readers, by its part of all reads as far as own sends tell,
+        // rather than pushed out of all.
         let spread = TEXT_HOMES * (1.0 + self.text_sent(now, seq)) / (FEW_TEXTS + self.texts.read(now));
         let away = |s: &Server| {
             let cell = self.cells.get(&s.listing.cell)?;
@@ -606,13 +606,14 @@
         self.decode_load(now, server) + self.stream_tokens(seq) / self.memory(server) <= FULL
     }
 
+    /// The last reported share of memory. One that nothing of ours will renew fades, or a server once full
+    /// would never be tried again.
     fn told_share(&self, now: Nanos, server: &Server) -> Option<f64> {
         let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
         server.report.memory_share.map(|share| share * (-(age as f64) / HALF_LIFE as f64).exp2())
     }
 
-    /// The reported share of memory with own streams since, never less than all own streams out. A report
-    /// that nothing of ours will renew fades, or a server once full would never be tried again.
+    /// The reported share of memory with own streams since, never less than all own streams out.
     fn decode_load(&self, now: Nanos, server: &Server) -> f64 {
         let own = server.own_tokens(0) / self.memory(server);
         let Some(share) = self.told_share(now, server) else { return own };
@@ -620,8 +621,10 @@
         own.max(share + since)
     }
 
-    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of those
-    /// that have, so that none is the least loaded by being unknown. It says nothing of its room.
+    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of
+    /// those that have, so that none is the least loaded by being unknown. Also covers those that started
+    /// anew; hurts where the unknown ones are the empty ones. Says nothing of room: a gateway that has heard
+    /// from full servers only must not take all for full.
     fn ranked_load(&self, now: Nanos, server: &Server) -> f64 {
         let unknown = if server.report.memory_share.is_none() { self.told } else { 0.0 };
         self.decode_load(now, server) + unknown
@@ -714,8 +717,8 @@
         self.deployment.max_attempts.min(2 + (further * self.utility(seq)).ceil() as usize)
     }
 
-    /// Nothing further: its attempts are used up, or one may have run and it is once-only, or its group's window
-    /// is over.
+    /// Nothing further: its attempts are used up, or one may have run and it is once-only, or its group's
+    /// window is over.
     fn spent(&self, now: Nanos, seq: &Sequence) -> bool {
         let over = |first: &Attempt| match self.deployment.types[seq.traffic.0].effect {
             Effect::Repeatable => false,
@@ -937,10 +940,10 @@
     }
 }
 
-/// Rule 5: since when something may be held for a sequence with nothing out, once this attempt has ended. Every read
-/// that ran may have left its state, whatever came back; a writer that finds none leaves those of older reads. The
-/// time starts anew only where the server had the attempt: while connections fail to come up, or swallow what they are
-/// given, it runs on.
+/// Rule 5: since when something may be held for a sequence with nothing out, once this attempt has ended.
+/// Every read that ran may have left its state, whatever came back; a writer that finds none leaves those of
+/// older reads. The time starts anew only where the server had the attempt: while connections fail to come
+/// up, or swallow what they are given, it runs on.
 pub fn held_since(now: Nanos, seq: &Sequence, attempt: &Attempt, got: Outcome) -> Option<Nanos> {
     use Outcome::*;
     let leaves = |a: &Attempt| {
