--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -104,6 +104,24 @@
     }
 }
 
+fn sequence(id: SeqId, traffic: usize, abandon_at: Nanos) -> NewSequence {
+    NewSequence {
+        id,
+        traffic: TypeId(traffic),
+        tenant: None,
+        session: None,
+        prefix: None,
+        prompt_tokens: 100.0,
+        prefix_tokens: 0.0,
+        max_out: 50.0,
+        hint: None,
+        resumed: false,
+        relay: Relay::Passed,
+        abandon_at,
+        whole_by: None,
+    }
+}
+
 /// What a plain observer knows of one sequence.
 #[derive(Default)]
 struct Course {
@@ -283,21 +301,8 @@
                 let relay_of = Some(relay);
                 let course = Course { traffic, relay: relay_of, abandon_at, whole_by, ..Course::default() };
                 self.courses.insert(id, course);
-                let new = NewSequence {
-                    id,
-                    traffic: TypeId(traffic),
-                    tenant: None,
-                    session: Some(SessionId(number % 5)),
-                    prefix: None,
-                    prompt_tokens: 100.0,
-                    prefix_tokens: 0.0,
-                    max_out: 50.0,
-                    hint: None,
-                    resumed: false,
-                    relay,
-                    abandon_at,
-                    whole_by,
-                };
+                let session = Some(SessionId(number % 5));
+                let new = NewSequence { session, relay, whole_by, ..sequence(id, traffic, abandon_at) };
                 self.conductor.take(self.now, new, &mut out);
             }
             3..5 => {
@@ -423,22 +428,7 @@
 /// A sequence of this traffic type whose client waits for four seconds; the attempts that went out are ended so,
 /// each 10 ms after the one before.
 fn tried(conductor: &mut Conductor, traffic: usize, endings: &[Ending], out: &mut Vec<Action>) -> Nanos {
-    let new = NewSequence {
-        id: SeqId(1),
-        traffic: TypeId(traffic),
-        tenant: None,
-        session: None,
-        prefix: None,
-        prompt_tokens: 100.0,
-        prefix_tokens: 0.0,
-        max_out: 50.0,
-        hint: None,
-        resumed: false,
-        relay: Relay::Passed,
-        abandon_at: 4_000 * MS,
-        whole_by: None,
-    };
-    conductor.take(0, new, out);
+    conductor.take(0, sequence(SeqId(1), traffic, 4_000 * MS), out);
     let mut now = 0;
     for (attempt, ending) in endings.iter().enumerate() {
         now += 10 * MS;
