--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -352,6 +352,8 @@
         (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":7"), "listen is malformed"),
         (good.replace("\"maxAttempts\":4,", ""), "allowed.maxAttempts is missing"),
         (good.replace("\"coldFrom\":0.3", "\"coldFrom\":\"x\""), "rules.coldFrom is malformed"),
+        (good.replace("\"streamed\":true,", ""), "lanes[0]: setting streamed is missing"),
+        (good.replace("\"how\":\"inline\"", "\"how\":\"loudly\""), "report.how is malformed"),
         (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"203.0.113.1:9\""), "listen: 203.0.113.1:9"),
         (good.replace('}', ""), "expected"),
     ];
--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -56,7 +56,8 @@
     }
 
     fn listing(&self, number: u64, condition: Condition) -> Listing {
-        Listing { kind: KindId(self.kinds[number as usize]), ..listing(number, condition) }
+        let zone = ZoneId(number as usize / 3);
+        Listing { kind: KindId(self.kinds[number as usize]), zone, ..listing(number, condition) }
     }
 }
 
@@ -189,7 +190,11 @@
                     if let (Effect::Tokened { scope, window }, Some((first, at, _))) =
                         (effect, course.may_have_run)
                     {
-                        let group = scope != Scope::Cell || first.0 % 2 == dispatch.server.0 % 2;
+                        let group = match scope {
+                            Scope::All => true,
+                            Scope::Zone => first.0 / 3 == dispatch.server.0 / 3,
+                            Scope::Cell => first.0 % 2 == dispatch.server.0 % 2,
+                        };
                         if !group || self.now >= at + window {
                             return Err(format!("rule 2: tokened left its group or window: {dispatch:?}"));
                         }
@@ -383,6 +388,9 @@
         let Some(due) = world.conductor.next_due() else { break };
         world.pass_timer(due)?;
     }
+    // And nothing is held after the end, however long nobody looks.
+    world.now += 2 * world.build.deployment.release_within;
+    world.carry_out(Vec::new())?;
     let unanswered = world.courses.values().filter(|course| course.finals != 1).count();
     if unanswered + world.conductor.in_hand() > 0 {
         return Err(format!("rule 1: {unanswered} without a final answer"));
