--- a/src/brain.rs
+++ b/src/brain.rs
@@ -753,12 +753,13 @@
         let Effect::Tokened { scope, .. } = self.deployment.types[seq.traffic.0].effect else {
             return true;
         };
-        let Some(first) = self.maybe_ran(seq).filter(|_| scope != Scope::All) else { return true };
-        self.servers.get(&first.server).is_some_and(|Server { listing, .. }| match scope {
+        let Some(first) = self.maybe_ran(seq) else { return true };
+        let known = self.servers.get(&first.server).map(|first| &first.listing);
+        match scope {
             Scope::All => true,
-            Scope::Zone => listing.zone == server.listing.zone,
-            Scope::Cell => listing.cell == server.listing.cell,
-        })
+            Scope::Zone => known.is_some_and(|first| first.zone == server.listing.zone),
+            Scope::Cell => known.is_some_and(|first| first.cell == server.listing.cell),
+        }
     }
 
     /// A sequence that nothing can take is held for part of its SLO, or of its client's time where that is
