Shared texts keep the homes at which reads find them; loads in flight are decoded

Ruled out: memory (readers hold 0.005 to 0.1 of theirs), too few servers (reads per reader are even), sessions (most ask once).

Lines at fault: brain.rs `homes`, `TEXT_HOMES * (1 + sent) / (FEW_TEXTS + all)` is 0.8 of the readers for a text of which nothing is known, and with 280 gateways that is each one's usual case; `shared` took every reader for one that has it after a single send.

Change: what nothing is known of is at home at a multiple that each read moves by whether its reader had kept the text (1.1, 0.5: one miss for seven finds); a reader that is no home is not hoped to have it; the hope is the measured part of finds.

The older test of homes answered every read as not found; its readers now answer as they hold.

--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -342,7 +342,11 @@
             }
             8 => {
                 let (server, share) = (ServerId(number % 7), self.chance.rand_float());
-                let report = Report { memory_share: Some(share), queued_prompt_tokens: Some(share * 1e4) };
+                let report = Report {
+                    memory_share: Some(share),
+                    queued_prompt_tokens: Some(share * 1e4),
+                    in_flight: None,
+                };
                 self.conductor.reported(self.now, server, report);
                 if let Some((id, ..)) = picked {
                     let course = self.courses.get_mut(&id).ok_or("gone")?;
@@ -498,7 +502,7 @@
             20 * MS
         }),
         ("all writers are full", |c, out| {
-            let full = Report { memory_share: Some(1.0), queued_prompt_tokens: None };
+            let full = Report { memory_share: Some(1.0), queued_prompt_tokens: None, in_flight: None };
             (2..6).for_each(|n| c.reported(0, ServerId(n), full));
             tried(c, 0, &[], out)
         }),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -404,8 +404,11 @@
             change.into_iter().for_each(|change| self.listed(change));
         }
         if load.memory_share.is_some() || load.queued_prompt_tokens.is_some() {
-            let report =
-                Report { memory_share: load.memory_share, queued_prompt_tokens: load.queued_prompt_tokens };
+            let report = Report {
+                memory_share: load.memory_share,
+                queued_prompt_tokens: load.queued_prompt_tokens,
+                in_flight: None,
+            };
             self.desk.borrow_mut().reported(now, server, report);
         }
     }
--- a/platform-terms/src/load.rs
+++ b/platform-terms/src/load.rs
@@ -10,6 +10,7 @@
 pub enum Measure {
     MemoryShare,
     QueuedThousands,
+    InFlight,
     /// Something that the decisions have no use for, or do not know.
     Other,
 }
@@ -31,6 +32,7 @@
         let means = match name {
             "x0" => word(settings, "specifics.reportX0")?,
             "x1" => word(settings, "specifics.reportX1")?,
+            "inflight" | "outstanding" => return Ok(Measure::InFlight),
             _ => return Ok(Measure::Other),
         };
         Ok(match means {
@@ -69,6 +71,7 @@
         match measure {
             Measure::MemoryShare => report.memory_share = Some(value.max(0.0)),
             Measure::QueuedThousands => report.queued_prompt_tokens = Some(value.max(0.0) * 1000.0),
+            Measure::InFlight => report.in_flight = Some(value.max(0.0)),
             Measure::Other => {}
         }
     }
@@ -82,7 +85,7 @@
     #[test]
     fn reports_are_read_whole_or_not_at_all() {
         let fields =
-            [("inflight", Measure::Other), ("x0", Measure::MemoryShare), ("x1", Measure::QueuedThousands)];
+            [("inflight", Measure::InFlight), ("x0", Measure::MemoryShare), ("x1", Measure::QueuedThousands)];
         let fields = fields.map(|(name, measure)| Field { name: name.to_owned(), measure });
         let told = |report: Option<Report>| report.map(|r| (r.memory_share, r.queued_prompt_tokens));
         assert_eq!(told(pairs("inflight=7, x0=0.5,x1=2", &fields)), Some((Some(0.5), Some(2000.0))));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,7 +8,7 @@
 use crate::decay::{DecayingSum, FadingShare, FadingTimes};
 use crate::interface::*;
 use oorandom::Rand64;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Memory of measured times and rates: long against one answer, short against a trouble.
 const HALF_LIFE: Nanos = 4_000_000_000;
@@ -44,10 +44,18 @@
 const RESERVE: f64 = 0.1;
 /// Part of a prompt that a session's home reader is hoped to have kept.
 const HOME: f64 = 0.25;
-/// A shared text is at home at so many times its part of all readers, and counts as one of so many texts
-/// while nothing tells.
-const TEXT_HOMES: f64 = 8.0;
+/// A shared text is at home at so many times its part of all readers, as far as own sends tell.
+const TEXT_HOMES: f64 = 4.0;
+/// While nothing tells it counts as one of so many, and is at home at a multiple of that part: this at first,
+/// then within these bounds as reads find it.
 const FEW_TEXTS: f64 = 10.0;
+const NEW_HOMES: f64 = 1.0;
+const NEW_HOMES_LEAST: f64 = 0.1;
+const NEW_HOMES_MOST: f64 = 8.0;
+/// What a reader that had kept its text makes of that multiple, and one that had not: seven finds for a miss
+/// keep it where it is.
+const FOUND: f64 = 1.1;
+const MISSED: f64 = 0.5;
 /// So much more than its even part may a reader get while nothing is known of moves, and at the most.
 const READ_MORE: f64 = 0.1;
 const READ_MOST: f64 = 2.0;
@@ -180,9 +188,20 @@
     /// How often a shared text was sent of late, and all of them together.
     prefixes: HashMap<PrefixId, DecayingSum>,
     texts: DecayingSum,
+    /// The multiple of its part of the readers at which a text is at home that was not sent here yet, and the
+    /// share of reads of late whose reader had not kept their shared text.
+    new_homes: f64,
+    missed: FadingShare,
     refusals: u32,
 }
 
+/// A server to be sent to, and prompt tokens that it is hoped to have kept.
+struct Pick {
+    server: ServerId,
+    step: Step,
+    kept: f64,
+}
+
 impl Brain {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
         Brain {
@@ -201,6 +220,8 @@
             read_tokens: DecayingSum::new(READ_LIFE),
             prefixes: HashMap::new(),
             texts: DecayingSum::new(TEXT_LIFE),
+            new_homes: NEW_HOMES,
+            missed: FadingShare::new(TEXT_LIFE),
             refusals: 0,
             deployment,
         }
@@ -212,8 +233,8 @@
         self.surveyed = None;
         self.servers.retain(|_, s| s.listing.condition != Condition::Gone || !s.out.is_empty());
         if scope != ListScope::Changes {
-            let named = |id: &ServerId| entries.iter().any(|entry| entry.server == *id);
-            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !named(id)) {
+            let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
+            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 server.listing.condition = Condition::Gone;
             }
         }
@@ -270,19 +291,19 @@
             None => self.pick_mixed(now, seq).or_else(|| self.pick_reader(now, seq)),
         };
         let whole = || self.pick_whole(now, seq).filter(|_| state.is_none());
-        let Some((server, step)) = picked.or_else(whole) else {
+        let Some(pick) = picked.or_else(whole) else {
             let hold = self.may_go_on(seq, state.is_some()) && self.may_hold(now, seq);
             return if hold { Schedule::NotYet } else { self.give_up(now, seq) };
         };
-        if first && self.overloaded(now, seq, server, step) {
+        if first && self.overloaded(now, seq, &pick) {
             return self.give_up(now, seq);
         }
         if first {
-            self.admitted[usize::from(step == Step::Whole)].add(now, 1.0);
+            self.admitted[usize::from(pick.step == Step::Whole)].add(now, 1.0);
         }
         seq.admitted = true;
-        self.send(now, seq, server, step);
-        Schedule::Send(server)
+        self.send(now, seq, &pick);
+        Schedule::Send(pick.server)
     }
 
     /// What to do after the outcome of attempt `n`; `last` where it ended the sequence.
@@ -357,21 +378,26 @@
 
     /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads
     /// counts part of the prompt again, since that part of its states has to be moved once more.
-    fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
+    fn pick_reader(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
         if seq.attempts.len() + 2 > self.most_attempts(seq) {
             return None;
         }
-        let (homes, shared) = (self.homes(now, seq), self.shared(now, seq));
+        let homes = self.homes(now, seq);
         let nearest = homes.values().copied().fold(f64::INFINITY, f64::min);
+        let kept = |s: &Server| {
+            let away = homes.get(&s.listing.server).copied();
+            let hope = if away.is_some_and(|away| away < LAST) { self.found(now) } else { 0.0 };
+            (away.map_or(0.0, |away| nearest / away), self.credit(s, seq, hope))
+        };
         let work = |s: &Server| {
             let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
-            let home = homes.get(&s.listing.server).map_or(0.0, |away| nearest / away);
+            let (home, kept) = kept(s);
             let last = self.last(now, s, self.ready(now, s));
             let again = far - HOME * home + 2.0 * self.doubt(now, s, seq);
-            self.read_work(now, s, seq, shared) + again * seq.prompt_tokens + last
+            self.read_work(now, s, seq, kept) + again * seq.prompt_tokens + last
         };
-        self.least(now, seq, |s| (self.role(s) == Role::Reader).then(|| work(s)))
-            .map(|reader| (reader, Step::Read))
+        let server = self.least(now, seq, |s| (self.role(s) == Role::Reader).then(|| work(s)))?;
+        Some(Pick { server, step: Step::Read, kept: kept(&self.servers[&server]).1 })
     }
 
     /// The server with the least of a measure, of those that have one and may be sent this; ties go by lot.
@@ -395,8 +421,9 @@
         let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
         let short = (even - own).max(0.0) / spare.max(1e-9);
         // A text that many share is kept by some readers, by its part of all reads as far as own sends tell,
-        // rather than pushed out of all.
-        let spread = TEXT_HOMES * (1.0 + self.text_sent(now, seq)) / (FEW_TEXTS + self.texts.read(now));
+        // rather than pushed out of all: by the fewer the more often it is not found there.
+        let sent = self.new_homes.max(TEXT_HOMES) * self.text_sent(now, seq);
+        let spread = (self.new_homes + sent) / (FEW_TEXTS + self.texts.read(now));
         let away = |s: &Server| {
             let cell = self.cells.get(&s.listing.cell)?;
             let part = zones[&cell.zone].max(1e-9);
@@ -464,7 +491,7 @@
     /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions.
     /// A state leaves a cell that is much fuller than another of the hall. And a cell that reads more than
     /// its writers can take hands on the rest, by lot to where less is read, while their loads are not known.
-    fn pick_writer(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<(ServerId, Step)> {
+    fn pick_writer(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<Pick> {
         let chance = self.chance.rand_float();
         let home = &self.servers[&reader].listing;
         let no_writers = self.cells.values().all(|cell| cell.writers <= 0.0);
@@ -483,8 +510,8 @@
             let spare =
                 |s: &Server| self.cells.get(&s.listing.cell).is_some_and(|c| c.spare() > 0.0) && sound(s);
             let picked = self.least(now, seq, |s| spare(s).then(|| away(s)));
-            if let Some(writer) = picked {
-                return Some((writer, Step::Move));
+            if let Some(server) = picked {
+                return Some(Pick { server, step: Step::Move, kept: 0.0 });
             }
         }
         let load = |s: &Server| {
@@ -496,15 +523,15 @@
             let last = self.last(now, s, sound(s)) * (1.0 + far);
             self.ranked_load(now, s) + far + self.doubt(now, s, seq) + last
         };
-        let writer = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
-        let beside = self.servers[&writer].listing.cell == home.cell;
-        Some((writer, if beside { Step::Write } else { Step::Move }))
+        let server = self.least(now, seq, |s| (self.role(s) != Role::Reader).then(|| load(s)))?;
+        let beside = self.servers[&server].listing.cell == home.cell;
+        Some(Pick { server, step: if beside { Step::Write } else { Step::Move }, kept: 0.0 })
     }
 
     /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer
     /// and has begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at
     /// a time.
-    fn pick_mixed(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
+    fn pick_mixed(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
         let least = |role: Role| {
             let open = |s: &Server| self.role(s) == role && self.ready(now, s) && self.has_room(now, s, seq);
             let idle = |s: &Server| role == Role::Writer || s.out.iter().all(|out| !out.waiting);
@@ -512,14 +539,18 @@
         };
         let mixed = least(Role::Mixed)?;
         let load = |id: ServerId| self.ranked_load(now, &self.servers[&id]);
-        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then_some((mixed, Step::Whole))
+        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then(|| self.whole(seq, mixed))
     }
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
-    fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<(ServerId, Step)> {
+    fn pick_whole(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
         let open = |s: &Server| self.takes_whole(self.role(s)) && self.ready(now, s);
         let least = self.least(now, seq, |s| open(s).then(|| self.ranked_load(now, s)));
-        least.map(|server| (server, Step::Whole))
+        least.map(|server| self.whole(seq, server))
+    }
+
+    fn whole(&self, seq: &Sequence, server: ServerId) -> Pick {
+        Pick { server, step: Step::Whole, kept: self.credit(&self.servers[&server], seq, 0.0) }
     }
 
     /// Listed as ready, and within this gateway's part of what a cold server may be sent.
@@ -631,7 +662,7 @@
     }
 
     /// Queued prompt tokens, reported or own, and this prompt less what the reader should have kept of it.
-    fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence, shared: f64) -> f64 {
+    fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence, kept: f64) -> f64 {
         let own = server.own_tokens(0);
         let queued = match server.report.queued_prompt_tokens {
             Some(queue) => {
@@ -641,7 +672,7 @@
             }
             None => own,
         };
-        queued + seq.prompt_tokens - self.credit(server, seq, shared)
+        queued + seq.prompt_tokens - kept
     }
 
     /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is
@@ -651,8 +682,7 @@
     }
 
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways'
-    /// part. A shared text that this gateway has sent to some readers has come to others through its fellows,
-    /// the surer the more gateways there are for each reader.
+    /// part. A shared text may have come to it through other gateways, with that probability.
     fn credit(&self, server: &Server, seq: &Sequence, elsewhere: f64) -> f64 {
         let room = self.memory(server) / self.deployment.gateways as f64;
         let live = |text: Text| {
@@ -664,23 +694,21 @@
         session.max(prefix).max(elsewhere * seq.prefix_tokens).min(seq.prompt_tokens)
     }
 
-    /// How surely a reader has kept a sequence's shared text through the other gateways.
-    fn shared(&self, now: Nanos, seq: &Sequence) -> f64 {
-        let own = self.text_sent(now, seq);
-        let readers = self.servers.values().filter(|s| self.role(s) == Role::Reader).count().max(1);
-        (1.0 - 2.0 * (-own * (self.deployment.gateways - 1) as f64 / readers as f64).exp()).max(0.0)
+    /// How surely a home has kept its text: as the reads of late have found them.
+    fn found(&self, now: Nanos) -> f64 {
+        1.0 - self.missed.read(now, 0.5)
     }
 
     /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also
     /// holds against lost servers and slow links; hurts when a short jam clears faster than it seems.
-    fn overloaded(&self, now: Nanos, seq: &Sequence, server: ServerId, step: Step) -> bool {
+    fn overloaded(&self, now: Nanos, seq: &Sequence, pick: &Pick) -> bool {
         if seq.resumed {
             return false;
         }
         let time = |step| self.known_time(now, step, 0.0).unwrap_or(0.0);
-        let wait = match step {
+        let wait = match pick.step {
             Step::Read => {
-                let work = self.read_work(now, &self.servers[&server], seq, self.shared(now, seq));
+                let work = self.read_work(now, &self.servers[&pick.server], seq, pick.kept);
                 self.read_wait(now, work) + time(Step::Write)
             }
             step => time(step),
@@ -805,10 +833,10 @@
     }
 
     /// Books an attempt: its load, the text its reader will keep, and its place in a cold server's budget.
-    fn send(&mut self, now: Nanos, seq: &mut Sequence, id: ServerId, step: Step) {
+    fn send(&mut self, now: Nanos, seq: &mut Sequence, pick: &Pick) {
+        let Pick { server: id, step, kept } = *pick;
         let server = &self.servers[&id];
-        let shared = self.shared(now, seq);
-        let (work, credit) = (self.read_work(now, server, seq, shared), self.credit(server, seq, shared));
+        let (work, credit) = (self.read_work(now, server, seq, kept), self.credit(server, seq, 0.0));
         let shows = self.shows(seq, step);
         let stream = self.stream_tokens(seq);
         let room = self.memory(server) / self.deployment.gateways as f64;
@@ -819,7 +847,7 @@
             if server.kept.len() > KEPT {
                 server.kept.retain(|_, text| before - text.read_before < room);
             }
-            server.read_in_all += seq.prompt_tokens - credit;
+            server.read_in_all += seq.prompt_tokens - kept;
             let mut keep = |text, tokens| server.kept.insert(text, Kept { tokens, read_before: before });
             if let Some(id) = seq.session {
                 keep(Text::Session(id), seq.prompt_tokens);
@@ -833,7 +861,7 @@
                 self.texts.add(now, 1.0);
             }
         }
-        let own = if step == Step::Read { seq.prompt_tokens - credit } else { stream };
+        let own = if step == Step::Read { seq.prompt_tokens - kept } else { stream };
         server.out.push(Out { seq: seq.id, sent: now, tokens: own, waiting: shows });
         let tokens = if step == Step::Read { work } else { own };
         seq.attempts.push(Attempt {
@@ -872,6 +900,12 @@
 
     fn learn(&mut self, now: Nanos, seq: &Sequence, attempt: &Attempt, outcome: Outcome, began: bool) {
         let shows = self.shows(seq, attempt.step);
+        if let (Outcome::ReadDone { kept }, true) = (outcome, seq.prefix_tokens > 0.0) {
+            let missed = kept < seq.prefix_tokens / 2.0;
+            self.missed.add(now, missed);
+            let homes = self.new_homes * if missed { MISSED } else { FOUND };
+            self.new_homes = homes.clamp(NEW_HOMES_LEAST, NEW_HOMES_MOST);
+        }
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
         server.out.retain(|out| out.seq != seq.id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,6 +142,8 @@
 pub struct Report {
     pub memory_share: Option<f64>,
     pub queued_prompt_tokens: Option<f64>,
+    /// Sequences that it has in hand, those that wait among them.
+    pub in_flight: Option<f64>,
 }
 
 /// A sequence in hand: what the client told, and what was tried.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -5,6 +5,7 @@
 use common::*;
 use petrelshore::Brain;
 use petrelshore::interface::*;
+use std::collections::BTreeSet;
 
 #[test]
 fn the_writer_lies_in_the_readers_cell_and_is_the_least_loaded_there() {
@@ -460,7 +461,7 @@
     let cell = |n: u64| Listing { zone: ZoneId(0), ..entry(n, (n % 2) as usize, (n / 2) as i64) };
     let fleet: Vec<Listing> = (0..40).map(cell).collect();
     for (alike, fewest, most) in [(false, 1, 8), (true, 14, 20)] {
-        let mut readers = std::collections::BTreeSet::new();
+        let (mut readers, mut held) = (BTreeSet::new(), BTreeSet::new());
         for gateway in 0..60 {
             let mut brain = Brain::new(START, Deployment { gateways: 60, ..deployment() }, gateway);
             brain.listed(START, ListScope::Remembered, &fleet);
@@ -469,7 +470,10 @@
                 let text = if n == 60 || alike { 77 } else { 1_000 + gateway * 100 + n };
                 seq.session = Some(SessionId(seq.id.0));
                 (seq.prefix, seq.prefix_tokens) = (Some(PrefixId(text)), 800.0);
-                let reader = read(&mut brain, START, &mut seq, MS);
+                let reader = sent(brain.schedule(START, &mut seq));
+                let found = !held.insert((reader, text));
+                let kept = if found { seq.prefix_tokens } else { 0.0 };
+                close(&mut brain, START + MS, &mut seq, Outcome::ReadDone { kept });
                 if n == 60 {
                     readers.insert(reader);
                 }
