A client that has gone gets no attempt; last bytes arrive; the door holds few descriptors

At fault: - connection.rs `closed(AHEAD)`: with 64 KiB sent behind an open request its client's leaving showed only at the next write, and the next request in the buffer was taken and sent on; - client.rs `exchange`: nothing looked at the client before the bytes went out, so a connection that came up late, a timer or a busy loop could send for one that had gone; - house.rs: whoever found no place was told so in a task of its own for half a second, without a bound: more descriptors than the reserve of discovery and model servers; and it was closed over its unread request, which resets the connection and loses the answer. So were turned-away requests, and idle connections (with what had just come on them) on SIGTERM or in a crowd; - cli/platform.rs: the process ended while a request was still being read; - lists: `listed` and `keep_only` compared each entry with all others.

Change: `Peer::has_left` asks the system (hang-up behind unread bytes too), right before an attempt's bytes are written, before a request is taken, and every 25 ms while more lies there than is kept. A last answer is followed by a send-side shutdown and a bounded drain. At most eight are told at the door at once; nothing that something has come on is closed for room or on SIGTERM; the process waits for requests that are being read. What clients send ahead is bounded over all of them by an eighth of memory.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -97,7 +97,12 @@
         service.end_all();
         Timer::after(LAST_WORDS).await;
     };
-    future::or(service.until_empty(), late).await;
+    // A request that is still being read is owed its answer too.
+    let empty = async {
+        house.until_empty().await;
+        service.until_empty().await;
+    };
+    future::or(empty, late).await;
     Timer::after(LAST_BYTES).await;
     info!(counts = ?service.counts(), "stopped");
     Ok(())
--- a/conductor/src/lobby.rs
+++ b/conductor/src/lobby.rs
@@ -4,7 +4,8 @@
 //! request may be closed after a while; where the house is full, those that have never said anything go first.
 
 use petrelshore::interface::Nanos;
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 
 const MILLISECOND: Nanos = 1_000_000;
 /// A connection's first head must be whole after this, and a later one this long after its first byte.
@@ -28,6 +29,8 @@
     New(Nanos),
     Idle(Nanos),
     Asking,
+    /// Its last answer is written, and its client has still to take it.
+    Ended,
 }
 
 /// A connection, by a number of its own.
@@ -57,11 +60,12 @@
         Lobby { most, next: 0, seats: BTreeMap::new() }
     }
 
-    /// A client has connected. In a crowded house somebody may have to leave for it.
-    pub fn enter(&mut self, now: Nanos) -> (Entry, Option<SeatId>) {
+    /// A client has connected. In a crowded house somebody may have to leave for it, of those on whose connections
+    /// nothing has come (`rests`).
+    pub fn enter(&mut self, now: Nanos, rests: impl Fn(SeatId) -> bool) -> (Entry, Option<SeatId>) {
         let leaves = match self.seats.len() {
-            held if held >= self.most => self.dispensable(now, FULL_LEAST),
-            held if held as f64 >= self.most as f64 * CROWDED => self.dispensable(now, SILENT_LEAST),
+            held if held >= self.most => self.dispensable(now, FULL_LEAST, rests),
+            held if held as f64 >= self.most as f64 * CROWDED => self.dispensable(now, SILENT_LEAST, rests),
             _ => None,
         };
         if let Some(seat) = leaves {
@@ -95,6 +99,11 @@
         self.set(seat, Seat::Idle(now));
     }
 
+    /// Its last answer is written.
+    pub fn ends(&mut self, seat: SeatId) {
+        self.set(seat, Seat::Ended);
+    }
+
     pub fn leave(&mut self, seat: SeatId) {
         self.seats.remove(&seat);
     }
@@ -107,9 +116,14 @@
         }
     }
 
-    /// Connections without an open request, for a gateway that leaves.
-    pub fn idle(&self) -> Vec<SeatId> {
-        let idle = self.seats.iter().filter(|(_, seat)| **seat != Seat::Asking);
+    /// Connections without an open request, for a gateway that leaves. One that has just come will bring its own: it
+    /// is answered.
+    pub fn idle(&self, now: Nanos) -> Vec<SeatId> {
+        let idle = self.seats.iter().filter(|(_, seat)| match seat {
+            Seat::New(since) => now.saturating_sub(*since) >= SILENT_LEAST,
+            Seat::Idle(_) => true,
+            Seat::Asking | Seat::Ended => false,
+        });
         idle.map(|(seat, _)| *seat).collect()
     }
 
@@ -127,15 +141,20 @@
         }
     }
 
-    /// Whom nobody will miss: silent ones first, then the one that was idle for longest.
-    fn dispensable(&self, now: Nanos, silent_least: Nanos) -> Option<SeatId> {
+    /// Whom nobody will miss: those whose last answer is written first, then silent ones, then the
+    /// one that was idle for longest.
+    fn dispensable(&self, now: Nanos, silent_least: Nanos, rests: impl Fn(SeatId) -> bool) -> Option<SeatId> {
         let by = |of: fn(&Seat) -> Option<Nanos>, least: Nanos| {
-            let waits = self.seats.iter().filter_map(move |(id, seat)| Some((of(seat)?, *id)));
-            waits.filter(|(since, _)| now.saturating_sub(*since) >= least).min().map(|(_, id)| id)
+            let waits = self.seats.iter().filter_map(|(id, seat)| Some((of(seat)?, *id)));
+            let waits = waits.filter(|(since, _)| now.saturating_sub(*since) >= least);
+            let mut longest: BinaryHeap<_> = waits.map(Reverse).collect();
+            std::iter::from_fn(|| longest.pop()).map(|Reverse((_, id))| id).find(|id| rests(*id))
         };
-        let silent = by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, silent_least);
-        silent
-            .or_else(|| by(|seat| if let Seat::Idle(since) = seat { Some(*since) } else { None }, IDLE_LEAST))
+        let ended = || by(|seat| matches!(seat, Seat::Ended).then_some(0), 0);
+        let silent =
+            || by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, silent_least);
+        let idle = || by(|seat| if let Seat::Idle(since) = seat { Some(*since) } else { None }, IDLE_LEAST);
+        ended().or_else(silent).or_else(idle)
     }
 }
 
@@ -149,15 +168,15 @@
         let (new, used) = (seated(&mut lobby, 0), seated(&mut lobby, 0));
         lobby.idles(0, used);
         [new, used].into_iter().for_each(|seat| lobby.begins(seat));
-        assert_eq!(lobby.idle(), [new]);
+        assert_eq!(lobby.idle(SECOND), [new]);
         lobby.asks(new);
-        assert_eq!(lobby.idle(), []);
+        assert_eq!(lobby.idle(SECOND), []);
     }
 
     const SECOND: Nanos = 1_000 * MILLISECOND;
 
     fn seated(lobby: &mut Lobby, now: Nanos) -> SeatId {
-        match lobby.enter(now) {
+        match lobby.enter(now, |_| true) {
             (Entry::Seated(seat), None) => seat,
             other => panic!("{other:?}"),
         }
@@ -170,21 +189,29 @@
         lobby.asks(seats[0]);
         lobby.idles(2 * SECOND, seats[1]);
         lobby.idles(SECOND, seats[2]);
-        assert_eq!(lobby.enter(3 * SECOND), (Entry::Seated(SeatId(4)), Some(seats[3])), "the silent one");
+        assert_eq!(
+            lobby.enter(3 * SECOND, |_| true),
+            (Entry::Seated(SeatId(4)), Some(seats[3])),
+            "the silent one"
+        );
         lobby.asks(SeatId(4));
-        assert_eq!(lobby.enter(3 * SECOND).1, Some(seats[2]), "the longest idle");
+        assert_eq!(lobby.enter(3 * SECOND, |_| true).1, Some(seats[2]), "the longest idle");
         lobby.asks(SeatId(5));
-        assert_eq!(lobby.enter(3 * SECOND), (Entry::Seated(SeatId(6)), None), "idle for too short a time");
+        assert_eq!(
+            lobby.enter(3 * SECOND, |_| true),
+            (Entry::Seated(SeatId(6)), None),
+            "idle for too short a time"
+        );
         lobby.asks(SeatId(6));
         lobby.asks(seats[1]);
-        assert_eq!(lobby.enter(9 * SECOND), (Entry::Full, None), "all ask");
+        assert_eq!(lobby.enter(9 * SECOND, |_| true), (Entry::Full, None), "all ask");
         lobby.leave(seats[1]);
-        assert_eq!(lobby.enter(9 * SECOND), (Entry::Seated(SeatId(7)), None));
-        assert_eq!(lobby.enter(9 * SECOND), (Entry::Soon, None), "the silent one has only come");
-        let (entry, leaves) = lobby.enter(9 * SECOND + FULL_LEAST);
+        assert_eq!(lobby.enter(9 * SECOND, |_| true), (Entry::Seated(SeatId(7)), None));
+        assert_eq!(lobby.enter(9 * SECOND, |_| true), (Entry::Soon, None), "the silent one has only come");
+        let (entry, leaves) = lobby.enter(9 * SECOND + FULL_LEAST, |_| true);
         assert_eq!((entry, leaves), (Entry::Seated(SeatId(8)), Some(SeatId(7))));
         lobby.leave(SeatId(8));
-        assert_eq!(lobby.enter(9 * SECOND), (Entry::Seated(SeatId(9)), None));
-        assert_eq!((lobby.len(), lobby.idle()), (5, vec![SeatId(9)]));
+        assert_eq!(lobby.enter(9 * SECOND, |_| true), (Entry::Seated(SeatId(9)), None));
+        assert_eq!((lobby.len(), lobby.idle(9 * SECOND + SILENT_LEAST)), (5, vec![SeatId(9)]));
     }
 }
--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -12,7 +12,7 @@
 use crate::releases::{PLACES, Release, Releases, State, Word};
 use crate::{Action, Conductor, Counts, Dispatch, NewSequence, Reason};
 use petrelshore::interface::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Why a sequence was not taken. Nothing ran: coming again is harmless.
@@ -237,9 +237,9 @@
         others.filter_map(|id| Some((id, self.address(id)?))).collect()
     }
 
-    /// Whether a model server is listed at that address.
-    pub fn lists(&self, address: &SocketAddr) -> bool {
-        self.servers.values().any(|reached| reached.address == *address)
+    /// Where model servers are listed.
+    pub fn addresses(&self) -> BTreeSet<SocketAddr> {
+        self.servers.values().map(|reached| reached.address).collect()
     }
 
     /// When [`Passage::due`] next has something to do.
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -508,7 +508,10 @@
     let many = Deployment { gateways: 1_024, ..deployment() };
     let (mut passage, mut out) = (Passage::new(START, many, 7, 9), Vec::new());
     let both = |n: u64, condition| (Listing { condition, ..entry(n, (n % 2) as usize) }, at(1 + n as u16));
-    let listed = |passage: &Passage<&str>| (0..4_000).filter(|n| passage.lists(&at(1 + n))).count();
+    let listed = |passage: &Passage<&str>| {
+        let addresses = passage.addresses();
+        (0..4_000).filter(|n| addresses.contains(&at(1 + n))).count()
+    };
     let first: Vec<_> = (0..1_024).map(|n| both(n, Condition::Ready)).collect();
     passage.listed(START, ListScope::Remembered, &first);
     passage.take(START, sequence(SeqId(5), Relay::Passed), "hello", &mut out).unwrap();
@@ -571,7 +574,8 @@
     let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
     let read = taken(&mut passage, id);
     passage.listed(START, ListScope::Changes, &[(entry(3, 1), at(30))]);
-    assert_eq!((passage.lists(&at(3)), passage.lists(&at(30))), (false, true));
+    let addresses = passage.addresses();
+    assert_eq!((addresses.contains(&at(3)), addresses.contains(&at(30))), (false, true));
     passage.ended(START + MS, &read, Ending::ReadDone { kept: 0.0 }, &mut out);
     assert!(matches!(out[..], [Order::Send { to: Some(to), .. }] if to == at(30)), "{out:?}");
     let gone = Listing { condition: Condition::Gone, ..entry(read.server.0, 0) };
--- a/framing/src/wire.rs
+++ b/framing/src/wire.rs
@@ -5,14 +5,21 @@
 use async_io::{Async, Timer};
 use bytes::BytesMut;
 use futures_lite::{AsyncWriteExt, future};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::io::{self, ErrorKind, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Bytes taken from a socket at a time.
 const PIECE: usize = 8 << 10;
 
+/// How often a peer is looked at that has sent more than is taken from it.
+const LOOK: Duration = Duration::from_millis(25);
+/// After the last byte for a peer its own are taken and dropped for so long, and so many of them.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 1 << 20;
+
 /// Why nothing more can be had from a peer.
 #[derive(Debug)]
 pub enum Broken {
@@ -101,20 +108,78 @@
         if self.fill().await? == 0 { Err(Broken::Closed) } else { Ok(()) }
     }
 
-    /// Returns when the peer has closed. What it sends meanwhile is kept up to `most` bytes; past that it is not
-    /// taken, and its leaving shows only at the next write.
+    /// Returns when the peer has closed. What it sends meanwhile is kept up to `most` bytes; past that it stays with
+    /// the system, and the peer is looked at now and then.
     pub async fn closed(&mut self, most: usize) {
         while self.buffer.len() < most {
             if !self.fill().await.is_ok_and(|count| count > 0) {
                 return;
             }
         }
-        future::pending().await
+        while !self.peer().has_left() {
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// The other end, to be looked at while this is in use.
+    pub fn peer(&self) -> Peer {
+        Peer(self.stream.clone())
+    }
+
+    /// Ends the connection so that the last bytes written arrive: closed over unread bytes, it would be reset, and what
+    /// the peer has not taken yet would be gone.
+    pub async fn finish(&mut self) {
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let drained = async {
+            let mut taken = 0;
+            while taken < LINGER_BYTES {
+                self.buffer.clear();
+                match self.fill().await {
+                    Ok(count) if count > 0 => taken += count,
+                    _ => return,
+                }
+            }
+        };
+        let late = async {
+            Timer::after(LINGER).await;
+        };
+        future::or(drained, late).await;
     }
 
     /// Open, and nothing has come on it unasked.
     pub fn quiet(&self) -> bool {
-        let looked = self.stream.get_ref().peek(&mut [0]);
-        self.buffer.is_empty() && looked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        self.buffer.is_empty() && self.peer().looked().is_none()
+    }
+}
+
+/// The other end of a connection.
+#[derive(Clone)]
+pub struct Peer(Arc<Async<TcpStream>>);
+
+impl Peer {
+    /// Whether it has closed, or ended its sending, also behind bytes that nobody has taken yet. Asks the system now:
+    /// a loop that is busy may not have got to it.
+    pub fn has_left(&self) -> bool {
+        let mut sockets = [PollFd::new(&self.0, PollFlags::RDHUP)];
+        let looked = poll(&mut sockets, Some(&Timespec::default()));
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let hung_up = looked.is_ok() && sockets[0].revents().intersects(ended);
+        hung_up || self.looked().is_some_and(|looked| looked == 0)
+    }
+
+    /// Whether bytes have come that nobody has taken.
+    pub fn waits(&self) -> bool {
+        self.looked().is_some_and(|looked| looked > 0)
+    }
+
+    /// Bytes that lie there, at most one, zero at the end; none while nothing has come.
+    fn looked(&self) -> Option<usize> {
+        match self.0.get_ref().peek(&mut [0]) {
+            Ok(count) => Some(count),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
+            Err(_) => Some(0),
+        }
     }
 }
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -37,8 +37,13 @@
     pub held: bool,
     /// Never on a connection that was used before.
     pub fresh: bool,
+    /// Whether the client has left that it is sent for; asked right before it is sent.
+    pub left: Left,
 }
 
+/// Tells whether a client has left.
+pub type Left = Rc<dyn Fn() -> bool>;
+
 /// What an exchange told, with the load that came along.
 #[derive(Debug)]
 pub struct Heard<T> {
@@ -112,7 +117,7 @@
     pub async fn release(&self, to: SocketAddr, id: &str, within: Duration) -> Result<(), Ending> {
         let message = format!("DELETE /kv/leases/{id} HTTP/1.1\r\nHost: {to}\r\n\r\n");
         let told = async {
-            let way = Way { to, connect_within: within, held: false, fresh: false };
+            let way = Way { to, connect_within: within, held: false, fresh: false, left: &|| false };
             let answered = match self.exchange(&way, message.as_bytes(), &|| {}).await {
                 // A used connection broke under it. It may be told twice.
                 Err(Ending::Reset) => {
@@ -144,7 +149,7 @@
     }
 
     async fn ask(&self, call: &Call, reached: &dyn Fn()) -> Result<Answered, Ending> {
-        let target = std::str::from_utf8(&call.target).map_err(|_| Ending::HandedBack)?;
+        let target = std::str::from_utf8(&call.target).map_err(|_| Ending::NotConnected)?;
         let (to, id, length) = (call.to, &call.id, call.body.len());
         let wait = call.limit / 1_000_000;
         let mut message = format!(
@@ -154,13 +159,18 @@
         .into_bytes();
         message.extend_from_slice(&call.body);
         let Call { connect_within, held, fresh, .. } = *call;
-        self.exchange(&Way { to, connect_within, held, fresh }, &message, reached).await
+        let way = Way { to, connect_within, held, fresh, left: &*call.left };
+        self.exchange(&way, &message, reached).await
     }
 
     /// Sends one request. Where a connection breaks before the last byte is written, nothing has run: if it had been
-    /// used before, a new one carries the request.
-    async fn exchange(&self, way: &Way, message: &[u8], reached: &dyn Fn()) -> Result<Answered, Ending> {
-        let Way { to, connect_within, held, fresh } = *way;
+    /// used before, a new one carries the request. Where its client has left, it is handed back instead: the loop may
+    /// have been too busy to see that, or the connection may have come up late.
+    async fn exchange(&self, way: &Way<'_>, message: &[u8], reached: &dyn Fn()) -> Result<Answered, Ending> {
+        let Way { to, connect_within, held, fresh, left } = *way;
+        if left() {
+            return Err(Ending::HandedBack);
+        }
         let pooled = if fresh { None } else { self.0.pooled(to) };
         if let Some((line, waited)) = pooled {
             if line.wire.write(message).await.is_ok() {
@@ -179,6 +189,10 @@
             self.0.idle.borrow_mut().broke(self.0.clock.now(), to, waited);
         }
         let line = self.0.connect(to, connect_within).await.ok_or(Ending::NotConnected)?;
+        if left() {
+            self.0.idle.borrow_mut().keep(self.0.clock.now(), to, line);
+            return Err(Ending::HandedBack);
+        }
         line.wire.write(message).await.map_err(|_| Ending::NotConnected)?;
         reached();
         answered(line).await
@@ -190,7 +204,7 @@
     /// with one handshake, and the connection serves the next exchange.
     async fn proven(
         &self,
-        way: &Way,
+        way: &Way<'_>,
         answer: impl Future<Output = Result<Answered, Ending>>,
         reached: &dyn Fn(),
     ) -> Result<Answered, Ending> {
@@ -217,11 +231,12 @@
 
 /// How a request gets to its server.
 #[derive(Clone, Copy)]
-struct Way {
+struct Way<'a> {
     to: SocketAddr,
     connect_within: Duration,
     held: bool,
     fresh: bool,
+    left: &'a dyn Fn() -> bool,
 }
 
 type Answered = (AnswerHead, Body, Line);
--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -2,13 +2,16 @@
 
 use bytes::Bytes;
 use futures_lite::future;
+use petrelshore::interface::Outcome;
 use petrelshore_conductor::proof::Ending;
 use petrelshore_gateway::Clock;
 use petrelshore_platform_engine::{Call, Client};
 use petrelshore_platform_terms::load::{Field, Measure};
 use petrelshore_stand_in::platform::{Manner, ModelServer, events};
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -28,6 +31,7 @@
         connect_within: Duration::from_secs(5),
         held: false,
         fresh: false,
+        left: Rc::new(|| false),
     }
 }
 
@@ -202,3 +206,72 @@
         server.join().unwrap();
     }
 }
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left_also_while_the_connection_came_up() {
+    let server = ModelServer::start(false, Manner::Good).unwrap();
+    let client = client(4);
+    async_io::block_on(async {
+        // Asked before a connection is made, and again once it is there.
+        for leaves_at in [0, 1] {
+            let looks = Rc::new(Cell::new(0));
+            let left = Rc::new(move || looks.replace(looks.get() + 1) >= leaves_at);
+            let heard = client.write(&Call { left, fresh: true, ..call(server.address) }, &|| {}).await;
+            assert_eq!(heard.result.err(), Some(Ending::HandedBack), "{leaves_at}");
+        }
+    });
+    assert!(server.seen().is_empty(), "{:?}", server.seen());
+    // The connection that came up for nobody serves the next.
+    assert_eq!(async_io::block_on(written(&client, server.address)), (events(), Ok(())));
+    assert_eq!(server.connections(), 1);
+}
+
+/// Answers every request with these bytes, then closes.
+fn answers(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut asked = Vec::new();
+            while !asked.ends_with(b"{}") {
+                let mut piece = [0; 1024];
+                match stream.read(&mut piece) {
+                    Ok(count) if count > 0 => asked.extend_from_slice(&piece[..count]),
+                    _ => break,
+                }
+            }
+            let _ = stream.write_all(&bytes);
+        }
+    });
+    address
+}
+
+#[test]
+fn an_answer_that_breaks_off_at_any_byte_has_failed_and_may_have_run() {
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let stream =
+        format!("{head}{}{}0\r\nTrailer: x\r\n\r\n", chunk("data: a\n\n"), chunk("data: [DONE]\n\n"));
+    let read = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}";
+    let declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    let client = client(4);
+    for cut in 0..stream.len() {
+        let to = answers(stream.as_bytes()[..cut].to_vec());
+        let (passed, ended) = async_io::block_on(written(&client, to));
+        let ended = ended.expect_err("not whole");
+        assert!(!ended.proves_unrun() && ended.outcome(false) != Outcome::Generated, "{cut}: {ended:?}");
+        assert!("data: a\n\ndata: [DONE]\n\n".starts_with(&passed), "{cut}: {passed}");
+    }
+    for cut in 0..read.len() {
+        let to = answers(read.as_bytes()[..cut].to_vec());
+        let ended = async_io::block_on(client.read(&call(to), &|| {})).result.expect_err("not whole");
+        assert!(!ended.proves_unrun(), "{cut}: {ended:?}");
+    }
+    // The mark counts once the head that holds it is whole.
+    let whole = declined.find("\r\n\r\n").unwrap() + 4;
+    for cut in 0..declined.len() {
+        let to = answers(declined.as_bytes()[..cut].to_vec());
+        let ended = async_io::block_on(client.read(&call(to), &|| {})).result.expect_err("declined");
+        assert_eq!(ended.proves_unrun(), cut >= whole, "{cut}: {ended:?}");
+    }
+}
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -21,8 +21,6 @@
 use tracing::debug;
 
 const CHAT: &str = "/v1/chat/completions";
-/// What a client sends behind its open request is kept up to this.
-const AHEAD: usize = 64 << 10;
 
 /// An error that ends the connection: what it holds can't be trusted any further, or is not wanted.
 struct Turned {
@@ -49,6 +47,15 @@
     Left,
 }
 
+/// What becomes of a connection after a request.
+enum GoesOn {
+    Yes,
+    /// The answer is whole, and says that no other follows.
+    Finished,
+    /// Its client has gone, or has to see that its answer is not whole.
+    Broken,
+}
+
 /// Serves a connection until it ends.
 pub async fn serve(house: &House, seat: SeatId, mut wire: Wire) {
     let clock = house.service().clock();
@@ -62,24 +69,28 @@
         house.lobby().borrow_mut().begins(seat);
         let head = match head(house, began, &mut wire).await {
             Came::Head(head) => head,
-            Came::Turned(turned) => return turn_away(&wire, turned).await,
+            Came::Turned(turned) => return turn_away(house, seat, &mut wire, turned).await,
             Came::Left => return,
         };
-        let keeps = match request(house, seat, began, &head, &mut wire).await {
-            Ok(keeps) => keeps,
-            Err(turned) => return turn_away(&wire, turned).await,
+        let goes_on = match request(house, seat, began, &head, &mut wire).await {
+            Ok(goes_on) => goes_on,
+            Err(turned) => return turn_away(house, seat, &mut wire, turned).await,
         };
-        if !keeps || !head.keeps || house.leaving() {
-            return;
+        match goes_on {
+            // A request that came just as the gateway leaves is answered; what comes later meets a closed connection.
+            GoesOn::Yes if !house.leaving() || !wire.quiet() => {}
+            GoesOn::Yes | GoesOn::Broken => return,
+            GoesOn::Finished => return finish(house, seat, &mut wire).await,
         }
         house.lobby().borrow_mut().idles(clock.now(), seat);
     }
 }
 
-/// Waits for the next request to begin; false where the connection ends first.
+/// Waits for the next request to begin; false where the connection ends first. One that its client has closed behind
+/// requests that were sent ahead has ended: nobody waits for their answers.
 async fn first_byte(house: &House, seat: SeatId, wire: &mut Wire, new: bool) -> bool {
     if !wire.buffer.is_empty() {
-        return true;
+        return !wire.peer().has_left();
     }
     let within = Duration::from_nanos(house.lobby().borrow().may_idle(seat));
     let came = async { wire.more().await.is_ok() };
@@ -119,15 +130,15 @@
     began: Nanos,
     head: &RequestHead,
     wire: &mut Wire,
-) -> Result<bool, Turned> {
+) -> Result<GoesOn, Turned> {
     let target = std::str::from_utf8(&head.target).unwrap_or_default();
     let path = target.split_once('?').map_or(target, |(path, _)| path);
     match (&head.method[..], path) {
         (b"GET", "/healthz") if head.framing == Framing::Length(0) => {
             debug!(seat = seat.0, "asked whether it is ready");
             // Closed at once: those who ask this by the hundreds and stay would leave no place for the others.
-            written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
-            return Ok(false);
+            let told = written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
+            return Ok(if told { GoesOn::Finished } else { GoesOn::Broken });
         }
         (b"POST", CHAT) => {}
         (_, CHAT | "/healthz") => return turned(405, "this method is not allowed here"),
@@ -147,7 +158,13 @@
     let now = house.service().clock().now();
     let new = sequence(field, house.service().names(), now).or_else(|what| turned(400, what))?;
     let id = Rc::from(field("Req-Id").unwrap_or_default());
-    let message = Message { id, target: head.target.clone(), body, room };
+    let peer = wire.peer();
+    if peer.has_left() {
+        debug!(seat = seat.0, "left before its request was taken");
+        return Ok(GoesOn::Broken);
+    }
+    let left = Rc::new(move || peer.has_left());
+    let message = Message { id, target: head.target.clone(), body, room, left };
     match house.service().take(new, message) {
         Ok(answer) => Ok(answered(house, head, wire, answer).await),
         Err(Refusal::IdInHand) => turned(409, "Req-Id is in hand already"),
@@ -189,37 +206,43 @@
     }
 }
 
-/// Writes an answer as it comes. Says whether the connection goes on.
-async fn answered(house: &House, head: &RequestHead, wire: &mut Wire, mut answer: Answer) -> bool {
+/// Writes an answer as it comes.
+async fn answered(house: &House, head: &RequestHead, wire: &mut Wire, mut answer: Answer) -> GoesOn {
     let mut began = false;
     loop {
         let left = async {
-            wire.closed(AHEAD).await;
+            wire.closed(house.ahead()).await;
             None
         };
         let next = async { Some(answer.next().await) };
-        let Some(next) = future::or(next, left).await else { return false };
+        let Some(next) = future::or(next, left).await else { return GoesOn::Broken };
         let closes = house.leaving() || !head.keeps;
-        match next {
+        let told = match next {
             Next::Events(events) => {
                 let before = if began { String::new() } else { reply::stream(closes) };
                 began = true;
                 if !written(wire, &reply::chunk(before, &events)).await {
-                    return false;
+                    return GoesOn::Broken;
                 }
+                continue;
             }
-            Next::Last(Final::Generated) => return written(wire, reply::LAST_CHUNK).await,
+            Next::Last(Final::Generated) => written(wire, reply::LAST_CHUNK).await,
             // Without the last chunk, so that nobody takes it for whole.
-            Next::Last(_) if began => return false,
+            Next::Last(_) if began => return GoesOn::Broken,
             Next::Last(Final::Rejected { retry_after, .. }) => {
                 let told = reply::brief(503, "no room, trying again is harmless\n", closes, retry_after);
-                return written(wire, told.as_bytes()).await;
+                written(wire, told.as_bytes()).await
             }
             Next::Last(Final::Aborted { .. }) => {
                 let told = reply::brief(502, "the attempts failed\n", closes, None);
-                return written(wire, told.as_bytes()).await;
+                written(wire, told.as_bytes()).await
             }
-        }
+        };
+        return match told {
+            true if head.keeps => GoesOn::Yes,
+            true => GoesOn::Finished,
+            false => GoesOn::Broken,
+        };
     }
 }
 
@@ -232,7 +255,15 @@
     future::or(async { wire.write(bytes).await.is_ok() }, late).await
 }
 
-async fn turn_away(wire: &Wire, turned: Turned) {
+async fn turn_away(house: &House, seat: SeatId, wire: &mut Wire, turned: Turned) {
     debug!(status = turned.status, what = turned.what, "turned away");
-    written(wire, reply::brief(turned.status, &turned.what, true, turned.retry_after).as_bytes()).await;
+    let told = reply::brief(turned.status, &turned.what, true, turned.retry_after);
+    if written(wire, told.as_bytes()).await {
+        finish(house, seat, wire).await;
+    }
+}
+
+async fn finish(house: &House, seat: SeatId, wire: &mut Wire) {
+    house.lobby().borrow_mut().ends(seat);
+    wire.finish().await;
 }
--- a/platform-front/src/house.rs
+++ b/platform-front/src/house.rs
@@ -5,10 +5,11 @@
 use async_executor::Task;
 use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt, future};
+use event_listener::Event;
+use futures_lite::future;
 use petrelshore_conductor::doors::Doors;
 use petrelshore_conductor::lobby::{Entry, FULL_LEAST, Lobby, SeatId};
-use petrelshore_framing::wire::Wire;
+use petrelshore_framing::wire::{Peer, Wire};
 use petrelshore_front::entrance::{Listening, Reading};
 use petrelshore_platform::Service;
 use std::cell::{Cell, RefCell};
@@ -17,12 +18,17 @@
 use std::time::Duration;
 use tracing::debug;
 
-/// A client that is turned away at the door is told so within this.
-const AT_THE_DOOR: Duration = Duration::from_millis(500);
+/// So many are told at once that there is no place for them; others wait until the system takes their connection from
+/// its queue. Guards the descriptors of discovery and model servers.
+const AT_THE_DOOR: usize = 8;
 /// Connections taken before others get their turn.
 const AT_A_TIME: usize = 8;
 /// Part of memory that bodies may take up before their first event.
 const BODIES: usize = 6;
+/// Part of memory for what clients send behind their open requests, and the most and the least of one of them.
+const AHEAD: usize = 8;
+const AHEAD_MOST: usize = 64 << 10;
+const AHEAD_LEAST: usize = 4 << 10;
 /// Largest body of a request.
 pub const LARGEST_BODY: usize = 256 << 10;
 
@@ -34,8 +40,13 @@
     service: Service,
     lobby: RefCell<Lobby>,
     doors: Rc<RefCell<Doors>>,
-    seated: RefCell<HashMap<SeatId, Task<()>>>,
+    seated: RefCell<HashMap<SeatId, (Peer, Task<()>)>>,
+    /// Those at the door that are told that there is no place.
+    at_the_door: Cell<usize>,
+    ahead: usize,
     leaving: Cell<bool>,
+    /// Told when a client or one at the door has gone.
+    gone: Event,
 }
 
 impl House {
@@ -47,7 +58,10 @@
             lobby: RefCell::new(Lobby::new(connections)),
             doors: Rc::new(RefCell::new(doors)),
             seated: RefCell::default(),
+            at_the_door: Cell::new(0),
+            ahead: (memory_bytes / AHEAD / connections.max(1)).clamp(AHEAD_LEAST, AHEAD_MOST),
             leaving: Cell::new(false),
+            gone: Event::new(),
         }))
     }
 
@@ -64,54 +78,84 @@
     }
 
     async fn enter(&self, stream: TcpStream) {
-        let spawner = self.0.service.spawner().clone();
         let mut entry = self.ask_in();
         if entry == Entry::Soon {
             Timer::after(Duration::from_nanos(FULL_LEAST)).await;
             entry = self.ask_in();
         }
+        let (spawner, house) = (self.0.service.spawner().clone(), self.clone());
+        let mut wire = Wire::new(stream);
         let Entry::Seated(seat) = entry else {
             debug!("no place for a new connection");
-            return spawner.run(async move {
-                let told = async {
-                    let mut stream = stream;
-                    let _ = stream.write_all(reply::full().as_bytes()).await;
-                };
-                let late = async {
-                    Timer::after(AT_THE_DOOR).await;
-                };
-                future::or(told, late).await;
+            self.0.at_the_door.update(|count| count + 1);
+            spawner.run(async move {
+                if wire.write(reply::full().as_bytes()).await.is_ok() {
+                    wire.finish().await;
+                }
+                drop(wire);
+                house.0.at_the_door.update(|count| count - 1);
+                house.0.gone.notify(usize::MAX);
             });
+            return self.room_at_the_door().await;
         };
-        let house = self.clone();
+        let peer = wire.peer();
         let task = spawner.spawn(async move {
-            serve(&house, seat, Wire::new(stream)).await;
+            serve(&house, seat, wire).await;
             house.0.lobby.borrow_mut().leave(seat);
             let own = house.0.seated.borrow_mut().remove(&seat);
-            own.into_iter().for_each(Task::detach);
+            own.into_iter().for_each(|(_, task)| task.detach());
+            house.0.gone.notify(usize::MAX);
         });
         if let Some(task) = task {
-            self.0.seated.borrow_mut().insert(seat, task);
+            self.0.seated.borrow_mut().insert(seat, (peer, task));
+        }
+    }
+
+    async fn room_at_the_door(&self) {
+        loop {
+            let gone = self.0.gone.listen();
+            if self.0.at_the_door.get() < AT_THE_DOOR {
+                return;
+            }
+            gone.await;
         }
     }
 
     /// Asks for a place, and closes whom that takes it from.
     fn ask_in(&self) -> Entry {
-        let (entry, leaves) = self.0.lobby.borrow_mut().enter(self.0.service.clock().now());
+        let now = self.0.service.clock().now();
+        let (entry, leaves) = self.0.lobby.borrow_mut().enter(now, |seat| self.rests(seat));
         leaves.into_iter().for_each(|leaves| self.close(leaves));
         entry
     }
 
-    /// Closes what has no open request, and says with every answer from now on that its connection ends.
+    /// Whether nothing has come on a connection that was not taken yet. Closed over that, it would be reset, and its
+    /// request lost.
+    fn rests(&self, seat: SeatId) -> bool {
+        self.0.seated.borrow().get(&seat).is_none_or(|(peer, _)| !peer.waits())
+    }
+
+    /// Closes what rests, and says with every answer from now on that its connection ends.
     pub fn leave(&self) {
         self.0.leaving.set(true);
-        let idle = self.0.lobby.borrow().idle();
-        for seat in idle {
+        let idle = self.0.lobby.borrow().idle(self.0.service.clock().now());
+        for seat in idle.into_iter().filter(|seat| self.rests(*seat)) {
             self.0.lobby.borrow_mut().leave(seat);
             self.close(seat);
         }
     }
 
+    /// Returns once no client is left.
+    pub async fn until_empty(&self) {
+        loop {
+            let gone = self.0.gone.listen();
+            if self.connections() == 0 {
+                return;
+            }
+            gone.await;
+        }
+    }
+
     pub fn connections(&self) -> usize {
         self.0.lobby.borrow().len()
     }
@@ -133,6 +177,11 @@
         Reading::new(self.0.doors.clone(), seat.0)
     }
 
+    /// Most bytes that a client may have sent behind its open request before they stay with the system.
+    pub(crate) fn ahead(&self) -> usize {
+        self.0.ahead
+    }
+
     fn close(&self, seat: SeatId) {
         let task = self.0.seated.borrow_mut().remove(&seat);
         drop(task);
