--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -2,9 +2,10 @@
 
 use petrelshore_stand_in::platform::{Agent, Manner, ModelServer, config, entry, events};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// For what must come at all; nothing here is judged by how fast it is.
@@ -637,3 +638,90 @@
     }
     let _ = std::fs::remove_file(&file);
 }
+
+/// How a call to discovery ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Call {
+    Whole,
+    Refused,
+    Silent,
+    Trickling,
+    CutOff,
+    Status,
+    NoList,
+}
+
+/// Serves a list as the calls of now end; counts those that got it whole.
+fn discovery(list: String) -> (SocketAddr, Arc<Mutex<(Call, usize, usize)>>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let state = Arc::new(Mutex::new((Call::Whole, 0, 0)));
+    let shared = state.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (list, state) = (list.clone(), shared.clone());
+            std::thread::spawn(move || {
+                let mut asked = [0; 4096];
+                while stream.read(&mut asked).is_ok_and(|count| count > 0) {
+                    let call = state.lock().unwrap().0;
+                    state.lock().unwrap().1 += 1;
+                    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+                    let told = match call {
+                        Call::Refused => return,
+                        Call::Silent => return std::thread::sleep(PATIENCE),
+                        Call::Trickling => {
+                            for byte in whole.as_bytes() {
+                                if stream.write_all(&[*byte]).is_err() || state.lock().unwrap().0 != call {
+                                    return;
+                                }
+                                std::thread::sleep(Duration::from_millis(20));
+                            }
+                            return;
+                        }
+                        Call::CutOff => {
+                            let _ = stream.write_all(&whole.as_bytes()[..whole.len() / 2]);
+                            return;
+                        }
+                        Call::Status => "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
+                        Call::NoList => "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"index".to_owned(),
+                        Call::Whole => whole,
+                    };
+                    if stream.write_all(told.as_bytes()).is_err() {
+                        return;
+                    }
+                    if call == Call::Whole {
+                        state.lock().unwrap().2 += 1;
+                        std::thread::sleep(Duration::from_millis(100));
+                    }
+                }
+            });
+        }
+    });
+    (address, state)
+}
+
+#[test]
+fn however_a_call_to_discovery_ended_the_whole_list_is_asked_for_well_within_six_seconds() {
+    let reader = ModelServer::start(true, Manner::Good).unwrap();
+    let list = format!(
+        "{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}}",
+        entry("r", reader.address, "reader", "active")
+    );
+    let (address, state) = discovery(list);
+    let moved = |text: String| {
+        let (before, rest) = text.split_once("\"discovery\":\"").unwrap();
+        format!("{before}\"discovery\":\"{address}\"{}", rest.split_once('"').unwrap().1)
+    };
+    let world = World::start_with("endings", command, reader, ["reader", "writer"], moved);
+    world.wait_for("it is asked", || state.lock().unwrap().2 > 0);
+    let endings = [Call::Refused, Call::Silent, Call::Trickling, Call::CutOff, Call::Status, Call::NoList];
+    for call in endings {
+        let asked = state.lock().unwrap().1;
+        state.lock().unwrap().0 = call;
+        world.wait_for("a call ends so", || state.lock().unwrap().1 > asked + 1);
+        let (back, whole) = (Instant::now(), state.lock().unwrap().2);
+        state.lock().unwrap().0 = Call::Whole;
+        world.wait_for("the list is had", || state.lock().unwrap().2 > whole);
+        assert!(back.elapsed() < Duration::from_secs(4), "{call:?}: {:?}", back.elapsed());
+    }
+}
