A heavy prompt uses up more of a cold server's part, as its budget counts work

The acceptance counts what reaches a cold server by work; `send` in brain.rs booked one part for any prompt (line `cold_part = 1.0`). Now a prompt above the mean of those admitted of late uses up so much more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -178,6 +178,8 @@
     failed: BTreeMap<Stream, FadingShare>,
     /// Sequences admitted of late: those read at a reader first, and those taken whole.
     admitted: [DecayingSum; 2],
+    /// Their prompt tokens.
+    admitted_tokens: DecayingSum,
     tenants: Vec<DecayingSum>,
     /// Time that reads took, and the prompt work they were sent into.
     read_time: DecayingSum,
@@ -211,6 +213,7 @@
             times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
             failed: BTreeMap::new(),
             admitted: std::array::from_fn(|_| DecayingSum::new(HALF_LIFE)),
+            admitted_tokens: DecayingSum::new(HALF_LIFE),
             tenants: vec![DecayingSum::new(HALF_LIFE); deployment.tenants.len()],
             read_time: DecayingSum::new(READ_LIFE),
             read_tokens: DecayingSum::new(READ_LIFE),
@@ -296,6 +299,7 @@
         }
         if first {
             self.admitted[usize::from(pick.step == Step::Whole)].add(now, 1.0);
+            self.admitted_tokens.add(now, seq.prompt_tokens);
         }
         seq.admitted = true;
         self.send(now, seq, &pick);
@@ -835,8 +839,11 @@
         let shows = self.shows(seq, step);
         let stream = self.stream_tokens(seq);
         let room = self.memory(server) / self.deployment.gateways as f64;
+        // Against the mean prompt: rule 4 counts by work.
+        let admitted: f64 = self.admitted.iter().map(|sum| sum.read(now)).sum();
+        let heavy = seq.prompt_tokens * admitted / self.admitted_tokens.read(now).max(1.0);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        (server.cold_sent, server.cold_part) = (now, 1.0);
+        (server.cold_sent, server.cold_part) = (now, heavy.max(1.0));
         if matches!(step, Step::Read | Step::Whole) {
             let before = server.read_in_all;
             if server.kept.len() > KEPT {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -513,3 +513,35 @@
     }
     assert_eq!(sent(brain.schedule(START, &mut rare(501))), home);
 }
+
+#[test]
+fn a_heavy_prompt_uses_up_more_of_a_cold_servers_part_than_a_mean_one() {
+    let next = |tokens: f64| {
+        let mut brain = brain(deployment(), &fleet());
+        let mut now = START;
+        for id in 0..200 {
+            now += 50 * MS;
+            let mut seq = sequence(id, 0, now);
+            sent(brain.schedule(now, &mut seq));
+            close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        }
+        // One reader of two starts anew; how long after its first sequence it gets another.
+        brain.listed(now, ListScope::Changes, &[Listing { since: now, ..entry(0, 0, 0) }]);
+        let mut first = None;
+        for id in 1000.. {
+            now += 10 * MS;
+            let tokens = if first.is_none() { tokens } else { 1000.0 };
+            let mut seq = Sequence { prompt_tokens: tokens, ..sequence(id, 0, now) };
+            let reader = sent(brain.schedule(now, &mut seq));
+            close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            match first {
+                Some(first) if reader == ServerId(0) => return now - first,
+                None if reader == ServerId(0) => first = Some(now),
+                _ => {}
+            }
+        }
+        unreachable!()
+    };
+    let (mean, heavy) = (next(1000.0), next(6000.0));
+    assert!(heavy > 2 * mean, "{mean} after a mean one, {heavy} after a heavy one");
+}
