--- a/grpc/src/reflection.rs
+++ b/grpc/src/reflection.rs
@@ -96,40 +96,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn ask(asked: MessageRequest) -> MessageResponse {
-        let request = ServerReflectionRequest { host: String::new(), message_request: Some(asked) };
-        Described::new().answer(request).message_response.unwrap()
-    }
-
-    #[test]
-    fn every_service_is_listed_and_found_with_the_file_that_defines_it() {
-        let MessageResponse::ListServicesResponse(list) = ask(MessageRequest::ListServices(String::new()))
-        else {
-            panic!("no list");
-        };
-        let names: Vec<&str> = list.service.iter().map(|service| service.name.as_str()).collect();
-        assert_eq!(
-            names,
-            [
-                "petrelshore.chat.v1.ChatService",
-                "grpc.health.v1.Health",
-                "grpc.reflection.v1.ServerReflection",
-                "grpc.reflection.v1alpha.ServerReflection",
-            ]
-        );
-        for name in names.into_iter().chain(["petrelshore.chat.v1.ChatEvent", "petrelshore.chat.v1.Role"]) {
-            let found = ask(MessageRequest::FileContainingSymbol(name.to_owned()));
-            let MessageResponse::FileDescriptorResponse(found) = found else { panic!("{name} is not found") };
-            let file = FileDescriptorProto::decode(&found.file_descriptor_proto[0][..]).unwrap();
-            assert!(name.starts_with(file.package()), "{name} in {}", file.name());
-            assert!(file.dependency.is_empty(), "{} needs files that are not sent", file.name());
-        }
-        let lost = ask(MessageRequest::FileContainingSymbol("petrelshore.chat.v2.ChatService".to_owned()));
-        assert!(
-            matches!(lost, MessageResponse::ErrorResponse(error) if error.error_code == Code::NotFound as i32)
-        );
-    }
-}
+mod tests;
--- a/grpc/src/status.rs
+++ b/grpc/src/status.rs
@@ -90,32 +90,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use petrelshore_gateway::Refusal;
-
-    #[test]
-    fn only_what_provably_did_not_run_may_be_sent_again() {
-        use Reason::*;
-        let reasons = [NoRoom, Failed, OutOfTime, Broken, Stalled, Draining, TooLong, Repeated];
-        let all = reasons.iter().flat_map(|reason| {
-            [
-                Unanswered { cause: Cause::Rejected(*reason), retry: Retry::After(5_000_001) },
-                Unanswered { cause: Cause::Aborted(*reason), retry: Retry::Never },
-            ]
-        });
-        for unanswered in all.chain([Refusal::NoTime.into(), Refusal::KeyReused.into()]) {
-            let status = of_unanswered(&unanswered);
-            let harmless = matches!(unanswered.retry, Retry::After(_));
-            let retried =
-                matches!(status.code(), Code::Unavailable | Code::ResourceExhausted | Code::Aborted);
-            let pushback = status.metadata().get(PUSHBACK).and_then(|value| value.to_str().ok()).unwrap();
-            assert_eq!(
-                (retried, status.get_details_retry_info().is_some()),
-                (harmless, harmless),
-                "{unanswered:?}"
-            );
-            assert_eq!(pushback, if harmless { "6" } else { "-1" }, "{unanswered:?}");
-        }
-    }
-}
+mod tests;
--- a/platform-terms/src/load.rs
+++ b/platform-terms/src/load.rs
@@ -79,23 +79,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn reports_are_read_whole_or_not_at_all() {
-        let fields =
-            [("inflight", Measure::InFlight), ("x0", Measure::MemoryShare), ("x1", Measure::QueuedThousands)];
-        let fields = fields.map(|(name, measure)| Field { name: name.to_owned(), measure });
-        let told = |report: Option<Report>| report.map(|r| (r.memory_share, r.queued_prompt_tokens));
-        assert_eq!(told(pairs("inflight=7, x0=0.5,x1=2", &fields)), Some((Some(0.5), Some(2000.0))));
-        assert_eq!(told(row("7,-0.5,2", &fields)), Some((Some(0.0), Some(2000.0))));
-        assert_eq!(told(pairs("x0=0.5", &fields)), Some((Some(0.5), None)));
-        for bad in
-            ["", "x0", "x0=", "x0=much", "x0=NaN", "x0=inf", "x0=0.5;x1=2", "\u{1}\u{2}", "x9=1", "x0=1,,"]
-        {
-            assert!(pairs(bad, &fields).is_none(), "{bad}");
-        }
-        assert!(row("7,0.5", &fields).is_none() && row("7,0.5,x", &fields).is_none());
-    }
-}
+mod tests;
