--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -8,7 +8,7 @@
 use petrelshore_front::entrance::bind;
 use petrelshore_gateway::Spawner;
 use petrelshore_platform::{Service, discovery};
-use petrelshore_platform_front::House;
+use petrelshore_platform_front::Clients;
 use petrelshore_platform_terms::config::{Config, config};
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,15 +53,16 @@
     let listening =
         bind(config.listen).await.map_err(|error| format!("listen: {}: {error}", config.listen))?;
     let descriptors = config.descriptors.saturating_sub(OWN);
-    let clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
+    let most_clients = ((descriptors as f64 * CLIENTS) as usize).max(1);
     let (name, memory, listen) = (config.name.clone(), config.memory_bytes, listening.address);
     let (longest_abandon, clients_resume) = (config.longest_abandon, config.clients_resume);
-    let service = Service::start(config, descriptors.saturating_sub(clients).max(1), Spawner::new(executor));
+    let service =
+        Service::start(config, descriptors.saturating_sub(most_clients).max(1), Spawner::new(executor));
     executor.spawn(discovery::watch(service.clone())).detach();
-    let house = House::new(service.clone(), clients, memory);
-    let front = executor.spawn(house.clone().take(listening));
-    executor.spawn(log(service.clone(), house.clone())).detach();
-    info!(name, %listen, clients, "ready");
+    let clients = Clients::new(service.clone(), most_clients, memory);
+    let front = executor.spawn(clients.clone().take(listening));
+    executor.spawn(log(service.clone(), clients.clone())).detach();
+    info!(name, %listen, clients = most_clients, "ready");
 
     while let Some(Ok(signal)) = signals.next().await {
         if signal != Signal::Hup {
@@ -85,7 +86,7 @@
     let shutting = async {
         at(leaving.serve_until).await;
         drop(front);
-        house.leave();
+        clients.leave();
     };
     future::zip(moving, shutting).await;
     let late = async {
@@ -99,7 +100,7 @@
     };
     // A request that is still being read is owed its answer too.
     let empty = async {
-        house.until_empty().await;
+        clients.until_empty().await;
         service.until_empty().await;
     };
     future::or(empty, late).await;
@@ -122,11 +123,11 @@
     }
 }
 
-async fn log(service: Service, house: House) {
+async fn log(service: Service, clients: Clients) {
     loop {
         Timer::after(LOGGED).await;
         let (open, idle, owed) = service.open();
-        let (in_hand, clients) = (service.in_hand(), house.connections());
+        let (in_hand, clients) = (service.in_hand(), clients.connections());
         info!(in_hand, clients, servers = open, idle, owed, counts = ?service.counts(), "holding");
     }
 }
--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -651,8 +651,11 @@
     NoList,
 }
 
+/// How calls end now, how many have come, and how many of them got the list whole.
+type Calls = (Call, usize, usize);
+
 /// Serves a list as the calls of now end; counts those that got it whole.
-fn discovery(list: String) -> (SocketAddr, Arc<Mutex<(Call, usize, usize)>>) {
+fn discovery(list: String) -> (SocketAddr, Arc<Mutex<Calls>>) {
     let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
     let address = listener.local_addr().unwrap();
     let state = Arc::new(Mutex::new((Call::Whole, 0, 0)));
--- a/conductor/src/lobby.rs
+++ b/conductor/src/connection_table.rs
@@ -1,7 +1,7 @@
 //! Which connections of clients a gateway with few descriptors closes, and when.
 //!
 //! Clients keep their connections, some for ever, and some connect by the hundreds and say nothing. What has no open
-//! request may be closed after a while; where the house is full, those that have never said anything go first.
+//! request may be closed after a while; where the table is full, those that have never said anything go first.
 
 use petrelshore::interface::Nanos;
 use std::cmp::Reverse;
@@ -16,7 +16,7 @@
 const IDLE_FOR: Nanos = 15_000 * MILLISECOND;
 /// And not before this while its client may be about to ask.
 const IDLE_LEAST: Nanos = 2_000 * MILLISECOND;
-/// In a crowded house one that has not brought a whole request goes after this, in a full one after `FULL_LEAST`:
+/// In a crowded table one that has not brought a whole request goes after this, in a full one after `FULL_LEAST`:
 /// clients who ask do so as they connect.
 const SILENT_LEAST: Nanos = 300 * MILLISECOND;
 pub const FULL_LEAST: Nanos = 3 * MILLISECOND;
@@ -24,7 +24,7 @@
 const CROWDED: f64 = 0.8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Seat {
+enum Phase {
     /// No whole request has come on it yet.
     New(Nanos),
     Idle(Nanos),
@@ -35,125 +35,135 @@
 
 /// A connection, by a number of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct SeatId(pub u64);
+pub struct ConnectionId(pub u64);
 
 /// Open connections of clients.
 #[derive(Debug)]
-pub struct Lobby {
+pub struct ConnectionTable {
     most: usize,
     next: u64,
-    seats: BTreeMap<SeatId, Seat>,
+    connections: BTreeMap<ConnectionId, Phase>,
 }
 
 /// Whether a new connection may stay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Entry {
-    Seated(SeatId),
+    Admitted(ConnectionId),
     /// Some have only just come: in `FULL_LEAST` it shows who of them asks.
     Soon,
     /// Every place is taken by somebody who asks, or has just asked.
     Full,
 }
 
-impl Lobby {
+impl ConnectionTable {
     pub fn new(most: usize) -> Self {
-        Lobby { most, next: 0, seats: BTreeMap::new() }
+        ConnectionTable { most, next: 0, connections: BTreeMap::new() }
     }
 
-    /// A client has connected. In a crowded house somebody may have to leave for it, of those on whose connections
+    /// A client has connected. In a crowded table somebody may have to leave for it, of those on whose connections
     /// nothing has come (`rests`).
-    pub fn enter(&mut self, now: Nanos, rests: impl Fn(SeatId) -> bool) -> (Entry, Option<SeatId>) {
-        let leaves = match self.seats.len() {
+    pub fn enter(
+        &mut self,
+        now: Nanos,
+        rests: impl Fn(ConnectionId) -> bool,
+    ) -> (Entry, Option<ConnectionId>) {
+        let leaves = match self.connections.len() {
             held if held >= self.most => self.dispensable(now, FULL_LEAST, rests),
             held if held as f64 >= self.most as f64 * CROWDED => self.dispensable(now, SILENT_LEAST, rests),
             _ => None,
         };
-        if let Some(seat) = leaves {
-            self.seats.remove(&seat);
+        if let Some(id) = leaves {
+            self.connections.remove(&id);
         }
-        if self.seats.len() >= self.most {
-            let new = self.seats.values().any(|seat| matches!(seat, Seat::New(_)));
+        if self.connections.len() >= self.most {
+            let new = self.connections.values().any(|phase| matches!(phase, Phase::New(_)));
             return (if new { Entry::Soon } else { Entry::Full }, leaves);
         }
-        let seat = SeatId(self.next);
+        let id = ConnectionId(self.next);
         self.next += 1;
-        self.seats.insert(seat, Seat::New(now));
-        (Entry::Seated(seat), leaves)
+        self.connections.insert(id, Phase::New(now));
+        (Entry::Admitted(id), leaves)
     }
 
     /// A request begins to come. On a kept connection its client is not to lose it from here on; a new one has to
-    /// bring it whole first, or half requests would fill the house.
-    pub fn begins(&mut self, seat: SeatId) {
-        if matches!(self.seats.get(&seat), Some(Seat::Idle(_))) {
-            self.asks(seat);
+    /// bring it whole first, or half requests would fill the table.
+    pub fn begins(&mut self, id: ConnectionId) {
+        if matches!(self.connections.get(&id), Some(Phase::Idle(_))) {
+            self.asks(id);
         }
     }
 
     /// A whole request has come.
-    pub fn asks(&mut self, seat: SeatId) {
-        self.set(seat, Seat::Asking);
+    pub fn asks(&mut self, id: ConnectionId) {
+        self.set(id, Phase::Asking);
     }
 
     /// Its answer is written, and the connection waits for the next.
-    pub fn idles(&mut self, now: Nanos, seat: SeatId) {
-        self.set(seat, Seat::Idle(now));
+    pub fn idles(&mut self, now: Nanos, id: ConnectionId) {
+        self.set(id, Phase::Idle(now));
     }
 
     /// Its last answer is written.
-    pub fn ends(&mut self, seat: SeatId) {
-        self.set(seat, Seat::Ended);
+    pub fn ends(&mut self, id: ConnectionId) {
+        self.set(id, Phase::Ended);
     }
 
-    pub fn leave(&mut self, seat: SeatId) {
-        self.seats.remove(&seat);
+    pub fn leave(&mut self, id: ConnectionId) {
+        self.connections.remove(&id);
     }
 
     /// For how long a connection may wait for the first byte of its next request.
-    pub fn may_idle(&self, seat: SeatId) -> Nanos {
-        match self.seats.get(&seat) {
-            Some(Seat::New(_)) => HEAD_WITHIN,
+    pub fn may_idle(&self, id: ConnectionId) -> Nanos {
+        match self.connections.get(&id) {
+            Some(Phase::New(_)) => HEAD_WITHIN,
             _ => IDLE_FOR,
         }
     }
 
     /// Connections without an open request, for a gateway that leaves. One that has just come will bring its own: it
     /// is answered.
-    pub fn idle(&self, now: Nanos) -> Vec<SeatId> {
-        let idle = self.seats.iter().filter(|(_, seat)| match seat {
-            Seat::New(since) => now.saturating_sub(*since) >= SILENT_LEAST,
-            Seat::Idle(_) => true,
-            Seat::Asking | Seat::Ended => false,
+    pub fn idle(&self, now: Nanos) -> Vec<ConnectionId> {
+        let idle = self.connections.iter().filter(|(_, phase)| match phase {
+            Phase::New(since) => now.saturating_sub(*since) >= SILENT_LEAST,
+            Phase::Idle(_) => true,
+            Phase::Asking | Phase::Ended => false,
         });
-        idle.map(|(seat, _)| *seat).collect()
+        idle.map(|(id, _)| *id).collect()
     }
 
     pub fn len(&self) -> usize {
-        self.seats.len()
+        self.connections.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.seats.is_empty()
+        self.connections.is_empty()
     }
 
-    fn set(&mut self, seat: SeatId, to: Seat) {
-        if let Some(seat) = self.seats.get_mut(&seat) {
-            *seat = to;
+    fn set(&mut self, id: ConnectionId, to: Phase) {
+        if let Some(phase) = self.connections.get_mut(&id) {
+            *phase = to;
         }
     }
 
     /// Whom nobody will miss: those whose last answer is written first, then silent ones, then the
     /// one that was idle for longest.
-    fn dispensable(&self, now: Nanos, silent_least: Nanos, rests: impl Fn(SeatId) -> bool) -> Option<SeatId> {
-        let by = |of: fn(&Seat) -> Option<Nanos>, least: Nanos| {
-            let waits = self.seats.iter().filter_map(|(id, seat)| Some((of(seat)?, *id)));
+    fn dispensable(
+        &self,
+        now: Nanos,
+        silent_least: Nanos,
+        rests: impl Fn(ConnectionId) -> bool,
+    ) -> Option<ConnectionId> {
+        let by = |of: fn(&Phase) -> Option<Nanos>, least: Nanos| {
+            let waits = self.connections.iter().filter_map(|(id, phase)| Some((of(phase)?, *id)));
             let waits = waits.filter(|(since, _)| now.saturating_sub(*since) >= least);
             let mut longest: BinaryHeap<_> = waits.map(Reverse).collect();
             std::iter::from_fn(|| longest.pop()).map(|Reverse((_, id))| id).find(|id| rests(*id))
         };
-        let ended = || by(|seat| matches!(seat, Seat::Ended).then_some(0), 0);
+        let ended = || by(|phase| matches!(phase, Phase::Ended).then_some(0), 0);
         let silent =
-            || by(|seat| if let Seat::New(since) = seat { Some(*since) } else { None }, silent_least);
-        let idle = || by(|seat| if let Seat::Idle(since) = seat { Some(*since) } else { None }, IDLE_LEAST);
+            || by(|phase| if let Phase::New(since) = phase { Some(*since) } else { None }, silent_least);
+        let idle =
+            || by(|phase| if let Phase::Idle(since) = phase { Some(*since) } else { None }, IDLE_LEAST);
         ended().or_else(silent).or_else(idle)
     }
 }
--- /dev/null
+++ b/conductor/src/connection_table/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+#[test]
+fn a_request_that_begins_is_kept_on_a_used_connection_and_has_to_be_whole_on_a_new_one() {
+    let mut table = ConnectionTable::new(5);
+    let (new, used) = (admitted(&mut table, 0), admitted(&mut table, 0));
+    table.idles(0, used);
+    [new, used].into_iter().for_each(|id| table.begins(id));
+    assert_eq!(table.idle(SECOND), [new]);
+    table.asks(new);
+    assert_eq!(table.idle(SECOND), []);
+}
+
+const SECOND: Nanos = 1_000 * MILLISECOND;
+
+fn admitted(table: &mut ConnectionTable, now: Nanos) -> ConnectionId {
+    match table.enter(now, |_| true) {
+        (Entry::Admitted(id), None) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn in_a_crowd_silent_ones_go_first_then_the_longest_idle_and_never_one_that_asks() {
+    let mut table = ConnectionTable::new(5);
+    let ids: Vec<ConnectionId> = (0..4).map(|_| admitted(&mut table, 0)).collect();
+    table.asks(ids[0]);
+    table.idles(2 * SECOND, ids[1]);
+    table.idles(SECOND, ids[2]);
+    assert_eq!(
+        table.enter(3 * SECOND, |_| true),
+        (Entry::Admitted(ConnectionId(4)), Some(ids[3])),
+        "the silent one"
+    );
+    table.asks(ConnectionId(4));
+    assert_eq!(table.enter(3 * SECOND, |_| true).1, Some(ids[2]), "the longest idle");
+    table.asks(ConnectionId(5));
+    assert_eq!(
+        table.enter(3 * SECOND, |_| true),
+        (Entry::Admitted(ConnectionId(6)), None),
+        "idle for too short a time"
+    );
+    table.asks(ConnectionId(6));
+    table.asks(ids[1]);
+    assert_eq!(table.enter(9 * SECOND, |_| true), (Entry::Full, None), "all ask");
+    table.leave(ids[1]);
+    assert_eq!(table.enter(9 * SECOND, |_| true), (Entry::Admitted(ConnectionId(7)), None));
+    assert_eq!(table.enter(9 * SECOND, |_| true), (Entry::Soon, None), "the silent one has only come");
+    let (entry, leaves) = table.enter(9 * SECOND + FULL_LEAST, |_| true);
+    assert_eq!((entry, leaves), (Entry::Admitted(ConnectionId(8)), Some(ConnectionId(7))));
+    table.leave(ConnectionId(8));
+    assert_eq!(table.enter(9 * SECOND, |_| true), (Entry::Admitted(ConnectionId(9)), None));
+    assert_eq!((table.len(), table.idle(9 * SECOND + SILENT_LEAST)), (5, vec![ConnectionId(9)]));
+}
--- a/platform-front/src/house.rs
+++ b/platform-front/src/clients.rs
@@ -1,4 +1,4 @@
-//! Connections of clients: taken, seated, closed.
+//! Connections of clients: taken, counted, closed.
 
 use crate::connection::serve;
 use crate::reply;
@@ -7,8 +7,8 @@
 use async_net::TcpStream;
 use event_listener::Event;
 use futures_lite::future;
+use petrelshore_conductor::connection_table::{ConnectionId, ConnectionTable, Entry, FULL_LEAST};
 use petrelshore_conductor::doors::Doors;
-use petrelshore_conductor::lobby::{Entry, FULL_LEAST, Lobby, SeatId};
 use petrelshore_framing::wire::{Peer, Wire};
 use petrelshore_front::entrance::{Listening, Reading};
 use petrelshore_platform::Service;
@@ -20,7 +20,7 @@
 
 /// So many are told at once that there is no place for them; others wait until the system takes their connection from
 /// its queue. Guards the descriptors of discovery and model servers.
-const AT_THE_DOOR: usize = 8;
+const REJECTING: usize = 8;
 /// Connections taken before others get their turn.
 const AT_A_TIME: usize = 8;
 /// Part of memory that bodies may take up before their first event.
@@ -34,31 +34,31 @@
 
 /// All clients of one gateway.
 #[derive(Clone)]
-pub struct House(Rc<Inside>);
+pub struct Clients(Rc<Inside>);
 
 struct Inside {
     service: Service,
-    lobby: RefCell<Lobby>,
+    connection_table: RefCell<ConnectionTable>,
     doors: Rc<RefCell<Doors>>,
-    seated: RefCell<HashMap<SeatId, (Peer, Task<()>)>>,
+    tasks: RefCell<HashMap<ConnectionId, (Peer, Task<()>)>>,
     /// Those at the door that are told that there is no place.
-    at_the_door: Cell<usize>,
+    rejecting: Cell<usize>,
     ahead: usize,
     leaving: Cell<bool>,
     /// Told when a client or one at the door has gone.
     gone: Event,
 }
 
-impl House {
+impl Clients {
     /// At most so many connections, and bodies within a part of so much memory.
     pub fn new(service: Service, connections: usize, memory_bytes: usize) -> Self {
         let doors = Doors::bounded(connections, LARGEST_BODY, memory_bytes / BODIES);
-        House(Rc::new(Inside {
+        Clients(Rc::new(Inside {
             service,
-            lobby: RefCell::new(Lobby::new(connections)),
+            connection_table: RefCell::new(ConnectionTable::new(connections)),
             doors: Rc::new(RefCell::new(doors)),
-            seated: RefCell::default(),
-            at_the_door: Cell::new(0),
+            tasks: RefCell::default(),
+            rejecting: Cell::new(0),
             ahead: (memory_bytes / AHEAD / connections.max(1)).clamp(AHEAD_LEAST, AHEAD_MOST),
             leaving: Cell::new(false),
             gone: Event::new(),
@@ -83,38 +83,38 @@
             Timer::after(Duration::from_nanos(FULL_LEAST)).await;
             entry = self.ask_in();
         }
-        let (spawner, house) = (self.0.service.spawner().clone(), self.clone());
+        let (spawner, clients) = (self.0.service.spawner().clone(), self.clone());
         let mut wire = Wire::new(stream);
-        let Entry::Seated(seat) = entry else {
+        let Entry::Admitted(id) = entry else {
             debug!("no place for a new connection");
-            self.0.at_the_door.update(|count| count + 1);
+            self.0.rejecting.update(|count| count + 1);
             spawner.run(async move {
                 if wire.write(reply::full().as_bytes()).await.is_ok() {
                     wire.finish().await;
                 }
                 drop(wire);
-                house.0.at_the_door.update(|count| count - 1);
-                house.0.gone.notify(usize::MAX);
+                clients.0.rejecting.update(|count| count - 1);
+                clients.0.gone.notify(usize::MAX);
             });
-            return self.room_at_the_door().await;
+            return self.room_rejecting().await;
         };
         let peer = wire.peer();
         let task = spawner.spawn(async move {
-            serve(&house, seat, wire).await;
-            house.0.lobby.borrow_mut().leave(seat);
-            let own = house.0.seated.borrow_mut().remove(&seat);
+            serve(&clients, id, wire).await;
+            clients.0.connection_table.borrow_mut().leave(id);
+            let own = clients.0.tasks.borrow_mut().remove(&id);
             own.into_iter().for_each(|(_, task)| task.detach());
-            house.0.gone.notify(usize::MAX);
+            clients.0.gone.notify(usize::MAX);
         });
         if let Some(task) = task {
-            self.0.seated.borrow_mut().insert(seat, (peer, task));
+            self.0.tasks.borrow_mut().insert(id, (peer, task));
         }
     }
 
-    async fn room_at_the_door(&self) {
+    async fn room_rejecting(&self) {
         loop {
             let gone = self.0.gone.listen();
-            if self.0.at_the_door.get() < AT_THE_DOOR {
+            if self.0.rejecting.get() < REJECTING {
                 return;
             }
             gone.await;
@@ -124,24 +124,24 @@
     /// Asks for a place, and closes whom that takes it from.
     fn ask_in(&self) -> Entry {
         let now = self.0.service.clock().now();
-        let (entry, leaves) = self.0.lobby.borrow_mut().enter(now, |seat| self.rests(seat));
+        let (entry, leaves) = self.0.connection_table.borrow_mut().enter(now, |id| self.rests(id));
         leaves.into_iter().for_each(|leaves| self.close(leaves));
         entry
     }
 
     /// Whether nothing has come on a connection that was not taken yet. Closed over that, it would be reset, and its
     /// request lost.
-    fn rests(&self, seat: SeatId) -> bool {
-        self.0.seated.borrow().get(&seat).is_none_or(|(peer, _)| !peer.waits())
+    fn rests(&self, id: ConnectionId) -> bool {
+        self.0.tasks.borrow().get(&id).is_none_or(|(peer, _)| !peer.waits())
     }
 
     /// Closes what rests, and says with every answer from now on that its connection ends.
     pub fn leave(&self) {
         self.0.leaving.set(true);
-        let idle = self.0.lobby.borrow().idle(self.0.service.clock().now());
-        for seat in idle.into_iter().filter(|seat| self.rests(*seat)) {
-            self.0.lobby.borrow_mut().leave(seat);
-            self.close(seat);
+        let idle = self.0.connection_table.borrow().idle(self.0.service.clock().now());
+        for id in idle.into_iter().filter(|id| self.rests(*id)) {
+            self.0.connection_table.borrow_mut().leave(id);
+            self.close(id);
         }
     }
 
@@ -157,7 +157,7 @@
     }
 
     pub fn connections(&self) -> usize {
-        self.0.lobby.borrow().len()
+        self.0.connection_table.borrow().len()
     }
 
     pub(crate) fn leaving(&self) -> bool {
@@ -168,13 +168,13 @@
         &self.0.service
     }
 
-    pub(crate) fn lobby(&self) -> &RefCell<Lobby> {
-        &self.0.lobby
+    pub(crate) fn connection_table(&self) -> &RefCell<ConnectionTable> {
+        &self.0.connection_table
     }
 
     /// The room of a body that is about to be read.
-    pub(crate) fn reading(&self, seat: SeatId) -> Reading {
-        Reading::new(self.0.doors.clone(), seat.0)
+    pub(crate) fn reading(&self, id: ConnectionId) -> Reading {
+        Reading::new(self.0.doors.clone(), id.0)
     }
 
     /// Most bytes that a client may have sent behind its open request before they stay with the system.
@@ -182,8 +182,8 @@
         self.0.ahead
     }
 
-    fn close(&self, seat: SeatId) {
-        let task = self.0.seated.borrow_mut().remove(&seat);
+    fn close(&self, id: ConnectionId) {
+        let task = self.0.tasks.borrow_mut().remove(&id);
         drop(task);
     }
 }
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -1,13 +1,13 @@
 //! One client's connection: its requests, one after the other.
 
-use crate::house::{House, LARGEST_BODY};
+use crate::clients::{Clients, LARGEST_BODY};
 use crate::reply;
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use petrelshore::interface::Nanos;
+use petrelshore_conductor::connection_table::{BODY_WITHIN, ConnectionId, HEAD_WITHIN};
 use petrelshore_conductor::doors::Shut;
-use petrelshore_conductor::lobby::{BODY_WITHIN, HEAD_WITHIN, SeatId};
 use petrelshore_conductor::passage::{Final, Refusal};
 use petrelshore_framing::Unreadable;
 use petrelshore_framing::body::{Body, Framing};
@@ -57,42 +57,42 @@
 }
 
 /// Serves a connection until it ends.
-pub async fn serve(house: &House, seat: SeatId, mut wire: Wire) {
-    let clock = house.service().clock();
-    debug!(seat = seat.0, "came");
+pub async fn serve(clients: &Clients, connection: ConnectionId, mut wire: Wire) {
+    let clock = clients.service().clock();
+    debug!(connection = connection.0, "came");
     let mut opened = Some(clock.now());
     loop {
-        let began = match first_byte(house, seat, &mut wire, opened.is_some()).await {
+        let began = match first_byte(clients, connection, &mut wire, opened.is_some()).await {
             true => opened.take().unwrap_or_else(|| clock.now()),
             false => return,
         };
-        house.lobby().borrow_mut().begins(seat);
-        let head = match head(house, began, &mut wire).await {
+        clients.connection_table().borrow_mut().begins(connection);
+        let head = match head(clients, began, &mut wire).await {
             Came::Head(head) => head,
-            Came::Turned(turned) => return turn_away(house, seat, &mut wire, turned).await,
+            Came::Turned(turned) => return turn_away(clients, connection, &mut wire, turned).await,
             Came::Left => return,
         };
-        let goes_on = match request(house, seat, began, &head, &mut wire).await {
+        let goes_on = match request(clients, connection, began, &head, &mut wire).await {
             Ok(goes_on) => goes_on,
-            Err(turned) => return turn_away(house, seat, &mut wire, turned).await,
+            Err(turned) => return turn_away(clients, connection, &mut wire, turned).await,
         };
         match goes_on {
             // A request that came just as the gateway leaves is answered; what comes later meets a closed connection.
-            GoesOn::Yes if !house.leaving() || !wire.quiet() => {}
+            GoesOn::Yes if !clients.leaving() || !wire.quiet() => {}
             GoesOn::Yes | GoesOn::Broken => return,
-            GoesOn::Finished => return finish(house, seat, &mut wire).await,
+            GoesOn::Finished => return finish(clients, connection, &mut wire).await,
         }
-        house.lobby().borrow_mut().idles(clock.now(), seat);
+        clients.connection_table().borrow_mut().idles(clock.now(), connection);
     }
 }
 
 /// Waits for the next request to begin; false where the connection ends first. One that its client has closed behind
 /// requests that were sent ahead has ended: nobody waits for their answers.
-async fn first_byte(house: &House, seat: SeatId, wire: &mut Wire, new: bool) -> bool {
+async fn first_byte(clients: &Clients, connection: ConnectionId, wire: &mut Wire, new: bool) -> bool {
     if !wire.buffer.is_empty() {
         return !wire.peer().has_left();
     }
-    let within = Duration::from_nanos(house.lobby().borrow().may_idle(seat));
+    let within = Duration::from_nanos(clients.connection_table().borrow().may_idle(connection));
     let came = async { wire.more().await.is_ok() };
     let late = async {
         Timer::after(within).await;
@@ -100,14 +100,14 @@
     };
     let came = future::or(came, late).await;
     if !came && new {
-        debug!(seat = seat.0, "a connection without a request ended");
+        debug!(connection = connection.0, "a connection without a request ended");
     }
     came
 }
 
-async fn head(house: &House, began: Nanos, wire: &mut Wire) -> Came {
+async fn head(clients: &Clients, began: Nanos, wire: &mut Wire) -> Came {
     let late = async {
-        Timer::at(house.service().clock().instant(began + HEAD_WITHIN)).await;
+        Timer::at(clients.service().clock().instant(began + HEAD_WITHIN)).await;
         Came::Turned(Turned::new(408, "the head was not whole in time"))
     };
     let whole = async {
@@ -125,8 +125,8 @@
 
 /// The way of one request: its body whole, understood, taken, answered. Says whether the connection goes on.
 async fn request(
-    house: &House,
-    seat: SeatId,
+    clients: &Clients,
+    connection: ConnectionId,
     began: Nanos,
     head: &RequestHead,
     wire: &mut Wire,
@@ -135,7 +135,7 @@
     let path = target.split_once('?').map_or(target, |(path, _)| path);
     match (&head.method[..], path) {
         (b"GET", "/healthz") if head.framing == Framing::Length(0) => {
-            debug!(seat = seat.0, "asked whether it is ready");
+            debug!(connection = connection.0, "asked whether it is ready");
             // Closed at once: those who ask this by the hundreds and stay would leave no place for the others.
             let told = written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
             return Ok(if told { GoesOn::Finished } else { GoesOn::Broken });
@@ -145,28 +145,28 @@
         _ => return turned(404, "there is nothing here"),
     }
     let late = async {
-        Timer::at(house.service().clock().instant(began + BODY_WITHIN)).await;
+        Timer::at(clients.service().clock().instant(began + BODY_WITHIN)).await;
         turned(408, "the body was not whole in time")
     };
-    let (body, room) = future::or(body(house, seat, head, wire), late).await?;
-    house.lobby().borrow_mut().asks(seat);
-    debug!(seat = seat.0, "asks");
+    let (body, room) = future::or(body(clients, connection, head, wire), late).await?;
+    clients.connection_table().borrow_mut().asks(connection);
+    debug!(connection = connection.0, "asks");
     serde_json::from_slice::<serde::de::IgnoredAny>(&body)
         .or_else(|_| turned(400, "the body is not JSON"))?;
 
     let field = |name: &str| head.fields.only(name);
-    let now = house.service().clock().now();
-    let new = sequence(field, house.service().names(), now).or_else(|what| turned(400, what))?;
+    let now = clients.service().clock().now();
+    let new = sequence(field, clients.service().names(), now).or_else(|what| turned(400, what))?;
     let id = Rc::from(field("Req-Id").unwrap_or_default());
     let peer = wire.peer();
     if peer.has_left() {
-        debug!(seat = seat.0, "left before its request was taken");
+        debug!(connection = connection.0, "left before its request was taken");
         return Ok(GoesOn::Broken);
     }
     let left = Rc::new(move || peer.has_left());
     let message = Message { id, target: head.target.clone(), body, room, left };
-    match house.service().take(new, message) {
-        Ok(answer) => Ok(answered(house, head, wire, answer).await),
+    match clients.service().take(new, message) {
+        Ok(answer) => Ok(answered(clients, head, wire, answer).await),
         Err(Refusal::IdInHand) => turned(409, "Req-Id is in hand already"),
         Err(Refusal::Full { retry_after }) => {
             Err(Turned { retry_after, ..Turned::new(503, "too many requests in hand") })
@@ -176,8 +176,8 @@
 
 /// The whole body, within its size and what there is room for.
 async fn body(
-    house: &House,
-    seat: SeatId,
+    clients: &Clients,
+    connection: ConnectionId,
     head: &RequestHead,
     wire: &mut Wire,
 ) -> Result<(Bytes, Reading), Turned> {
@@ -185,7 +185,7 @@
         Shut::TooLarge => Turned::new(413, "the body is too large"),
         Shut::Full | Shut::AddressFull => Turned::new(503, "too much in hand"),
     };
-    let mut room = house.reading(seat);
+    let mut room = clients.reading(connection);
     if let Framing::Length(told) = head.framing {
         room.grow_to(usize::try_from(told).unwrap_or(usize::MAX)).map_err(shut)?;
     }
@@ -207,16 +207,16 @@
 }
 
 /// Writes an answer as it comes.
-async fn answered(house: &House, head: &RequestHead, wire: &mut Wire, mut answer: Answer) -> GoesOn {
+async fn answered(clients: &Clients, head: &RequestHead, wire: &mut Wire, mut answer: Answer) -> GoesOn {
     let mut began = false;
     loop {
         let left = async {
-            wire.closed(house.ahead()).await;
+            wire.closed(clients.ahead()).await;
             None
         };
         let next = async { Some(answer.next().await) };
         let Some(next) = future::or(next, left).await else { return GoesOn::Broken };
-        let closes = house.leaving() || !head.keeps;
+        let closes = clients.leaving() || !head.keeps;
         let told = match next {
             Next::Events(events) => {
                 let before = if began { String::new() } else { reply::stream(closes) };
@@ -255,15 +255,15 @@
     future::or(async { wire.write(bytes).await.is_ok() }, late).await
 }
 
-async fn turn_away(house: &House, seat: SeatId, wire: &mut Wire, turned: Turned) {
+async fn turn_away(clients: &Clients, connection: ConnectionId, wire: &mut Wire, turned: Turned) {
     debug!(status = turned.status, what = turned.what, "turned away");
     let told = reply::brief(turned.status, &turned.what, true, turned.retry_after);
     if written(wire, told.as_bytes()).await {
-        finish(house, seat, wire).await;
+        finish(clients, connection, wire).await;
     }
 }
 
-async fn finish(house: &House, seat: SeatId, wire: &mut Wire) {
-    house.lobby().borrow_mut().ends(seat);
+async fn finish(clients: &Clients, connection: ConnectionId, wire: &mut Wire) {
+    clients.connection_table().borrow_mut().ends(connection);
     wire.finish().await;
 }
