--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -8,7 +8,7 @@
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the
 //! decisions ([`intake`]), which connection it rides on ([`connections`]), which states are still to be let go
-//! ([`releases`]) and where a sequence left one ([`leases`]), whom a full clients closes ([`connection_table`]), how a gateway leaves
+//! ([`releases`]) and where a sequence left one ([`leases`]), whom a full table closes ([`connection_table`]), how a gateway leaves
 //! that is told to stop ([`leaving`]), what a repeated request is told ([`replays`]), how much a client may withdraw
 //! ([`withdrawals`]), and what one that got no answer may do by itself ([`answers`]). Of connections that carry many
 //! calls it is decided how their peers may behave ([`manners`]) and which stream is at fault when all stand still
