Decisions by job: src/brain.rs split into src/scheduler, servers into src/fleet

Cause: one file of 1,014 lines held all decisions and the servers' data beside them; what grows with the fleet could not be found in it. Failures and kept texts were tables inside of each server, without a bound over the fleet. Change: a pure move into prefill and decode selection, cell shares, slow start, outlier detection, admission, prefix affinity and attempt limits, all listed under policy. Servers are in src/fleet with an index by role, zone and cell. Failures, kept texts and texts' rates have one bound each for the gateway (src/bounded.rs). tests/replay.rs plays five recorded courses of the program before (6 to 128 servers).

--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,165 @@
+//! The model servers that a gateway knows, and where to find them: plain data, nothing here decides.
+//!
+//! [`Fleet`] keeps what is known of each [`Server`], and an [`Index`] of those that are listed as ready, so that a
+//! decision can turn to a few of them without looking at all.
+
+mod index;
+mod ring;
+mod server;
+
+pub use index::{Index, Members};
+pub use ring::{Ring, bucket, mix};
+pub use server::{Out, Server};
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Index as Lookup;
+
+/// The place of a server in its fleet's memory. It holds until the next list.
+pub type Slot = usize;
+
+pub struct Fleet {
+    kinds: Vec<Kind>,
+    weights: Weights,
+    slots: Vec<Server>,
+    free: Vec<Slot>,
+    by_id: BTreeMap<ServerId, Slot>,
+    generations: u64,
+    ring_points: usize,
+    index: Option<Index>,
+}
+
+impl Fleet {
+    /// A fleet without servers. On its hash rings each prefill server has so many points.
+    pub fn new(kinds: Vec<Kind>, weights: Weights, ring_points: usize) -> Self {
+        Fleet {
+            kinds,
+            weights,
+            slots: Vec::new(),
+            free: Vec::new(),
+            by_id: BTreeMap::new(),
+            generations: 0,
+            ring_points,
+            index: None,
+        }
+    }
+
+    /// Takes a list of servers, or what has changed in it. A server that is new, or has started anew, is made by
+    /// `start` from its entry; one that has gone stays for as long as an attempt is out to it.
+    pub fn listed(
+        &mut self,
+        scope: ListScope,
+        entries: &[Listing],
+        mut start: impl FnMut(&Listing) -> Server,
+    ) {
+        self.index = None;
+        self.drop_gone();
+        if scope != ListScope::Changes {
+            let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
+            for (_, slot) in self.by_id.iter().filter(|(id, _)| !named.contains(id)) {
+                self.slots[*slot].listing.condition = Condition::Gone;
+            }
+        }
+        for entry in entries {
+            let slot = match self.by_id.get(&entry.server) {
+                Some(&slot) if entry.since <= self.slots[slot].listing.since => {
+                    self.slots[slot].listing = entry.clone();
+                    slot
+                }
+                _ => self.insert(start(entry)),
+            };
+            let kind = &self.kinds[entry.kind.0];
+            let server = &mut self.slots[slot];
+            (server.role, server.memory) = (kind.role, kind.memory_tokens.max(1.0));
+            server.weight = match self.weights {
+                Weights::Size => entry.weight.max(1e-3),
+                Weights::Unused => 1.0,
+            };
+        }
+    }
+
+    fn drop_gone(&mut self) {
+        let (slots, free) = (&self.slots, &mut self.free);
+        self.by_id.retain(|_, slot| {
+            let server = &slots[*slot];
+            let stays = server.listing.condition != Condition::Gone || !server.out.is_empty();
+            if !stays {
+                free.push(*slot);
+            }
+            stays
+        });
+    }
+
+    fn insert(&mut self, mut server: Server) -> Slot {
+        self.generations += 1;
+        server.generation = self.generations;
+        let id = server.listing.server;
+        if let Some(&slot) = self.by_id.get(&id) {
+            self.slots[slot] = server;
+            return slot;
+        }
+        let slot = self.free.pop().unwrap_or(self.slots.len());
+        match self.slots.get_mut(slot) {
+            Some(freed) => *freed = server,
+            None => self.slots.push(server),
+        }
+        self.by_id.insert(id, slot);
+        slot
+    }
+
+    /// Makes the index anew where a list has come since, or a server has got warm.
+    pub fn refresh(&mut self, now: Nanos) {
+        if self.index.as_ref().is_none_or(|index| now >= index.holds_until) {
+            let servers = self.by_id.values().map(|slot| (*slot, &self.slots[*slot]));
+            self.index = Some(Index::new(now, servers, self.ring_points));
+        }
+    }
+
+    /// The index as of the last [`Fleet::refresh`]; none where a list has come since.
+    pub fn index(&self) -> Option<&Index> {
+        self.index.as_ref()
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    pub fn get(&self, id: ServerId) -> Option<&Server> {
+        self.by_id.get(&id).map(|slot| &self.slots[*slot])
+    }
+
+    pub fn get_mut(&mut self, id: ServerId) -> Option<&mut Server> {
+        let slot = self.by_id.get(&id)?;
+        self.slots.get_mut(*slot)
+    }
+
+    pub fn slot(&self, id: ServerId) -> Option<Slot> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub fn at(&self, slot: Slot) -> &Server {
+        &self.slots[slot]
+    }
+
+    /// All servers, by their names.
+    pub fn values(&self) -> impl Iterator<Item = &Server> + Clone {
+        self.by_id.values().map(|slot| &self.slots[*slot])
+    }
+
+    /// All servers from one name on, by their names.
+    pub fn values_from(&self, first: ServerId) -> impl Iterator<Item = &Server> {
+        self.by_id.range(first..).map(|(_, slot)| &self.slots[*slot])
+    }
+}
+
+impl Lookup<ServerId> for Fleet {
+    type Output = Server;
+
+    fn index(&self, id: ServerId) -> &Server {
+        &self.slots[self.by_id[&id]]
+    }
+}
--- /dev/null
+++ b/src/fleet/ring.rs
@@ -0,0 +1,54 @@
+//! Consistent hashing: each key has a server, the same at every gateway, that a change of the list rarely moves.
+
+use super::Slot;
+
+/// Points on a circle of hashes; a key belongs to the server of the next point.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ring {
+    points: Vec<(u64, Slot)>,
+    servers: usize,
+}
+
+impl Ring {
+    /// A ring of servers by their names, with so many points each.
+    pub fn new(servers: impl Iterator<Item = (u64, Slot)>, points: usize) -> Self {
+        let (mut ring, mut count) = (Vec::new(), 0);
+        for (name, slot) in servers {
+            count += 1;
+            ring.extend((0..points as u64).map(|point| (mix(name ^ mix(point + 1)), slot)));
+        }
+        ring.sort_unstable();
+        Ring { points: ring, servers: count }
+    }
+
+    /// How many servers are on it.
+    pub fn servers(&self) -> usize {
+        self.servers
+    }
+
+    /// The server of a key.
+    pub fn server(&self, key: u64) -> Option<Slot> {
+        let next = self.points.partition_point(|(point, _)| *point < key);
+        self.points.get(next).or(self.points.first()).map(|(_, slot)| *slot)
+    }
+}
+
+/// Which of so many buckets a key belongs to; with one bucket more, only that one's part of the keys moves (jump
+/// consistent hashing, by Lamping and Veach).
+pub fn bucket(mut key: u64, buckets: u64) -> u64 {
+    let (mut bucket, mut next) = (0, 0);
+    while next < buckets {
+        bucket = next;
+        key = key.wrapping_mul(2_862_933_555_777_941_757).wrapping_add(1);
+        let share = (1u64 << 31) as f64 / ((key >> 33) + 1) as f64;
+        next = ((bucket + 1) as f64 * share) as u64;
+    }
+    bucket
+}
+
+/// Spreads the bits of a number (the finalizer of splitmix64).
+pub fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,11 @@
 //! petrelshore decides where a language-model sequence is read and where its answer is written.
-//! `Brain` in `brain` decides; `interface` holds the plain types it is told and answers with.
+//! `Brain` in `scheduler` decides; `interface` holds the plain types it is told and answers with, `fleet` the servers
+//! that it knows.
 
-mod brain;
+pub mod bounded;
 pub mod decay;
+pub mod fleet;
 pub mod interface;
+mod scheduler;
 
-pub use brain::{Brain, held_since};
+pub use scheduler::{Brain, held_since};
--- /dev/null
+++ b/src/scheduler/decode.rs
@@ -0,0 +1,121 @@
+//! Decode selection: after the prefill the least loaded server of its cell, and servers that take a request whole.
+
+use super::*;
+
+/// A writer reported or reckoned fuller than this has no room.
+pub(super) const FULL: f64 = 0.95;
+/// A state leaves its cell when the least loaded writer there is this much fuller than the least in the hall.
+pub(super) const SPILL: f64 = 0.3;
+/// Part at which writers of another zone count for states that are handed on.
+pub(super) const ZONE_AWAY: f64 = 0.25;
+
+impl Brain {
+    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions.
+    /// A state leaves a cell that is much fuller than another of the hall. And a cell that reads more than
+    /// its writers can take hands on the rest, by lot to where less is read, while their loads are not known.
+    pub(super) fn select_decode(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<Pick> {
+        let chance = self.chance.rand_float();
+        let home = &self.fleet[reader].listing;
+        let no_writers = self.cells.values().all(|cell| cell.writers <= 0.0);
+        let writes = |s: &Server| s.role == Role::Writer || (no_writers && s.role == Role::Mixed);
+        let near = |s: &Server| s.listing.cell == home.cell && writes(s);
+        let sound = |s: &Server| s.role != Role::Reader && self.ready(now, s) && self.has_room(now, s, seq);
+        let known = self.fleet.values().filter(|s| near(s)).map(|s| self.fresh(now, s)).fold(0.0, f64::max);
+        let leave = self.cells.get(&home.cell).map_or(0.0, |c| 1.0 - c.writers / c.reads.max(1e-9));
+        if chance < leave * (1.0 - known) {
+            let away = |s: &Server| {
+                let cell = &self.cells[&s.listing.cell];
+                let zone = if cell.zone == home.zone { 1.0 } else { ZONE_AWAY };
+                race(seq.id.0, s, zone * cell.spare() * s.weight / cell.writers.max(1e-9))
+            };
+            let spare =
+                |s: &Server| self.cells.get(&s.listing.cell).is_some_and(|c| c.spare() > 0.0) && sound(s);
+            let picked = self.least(now, seq, |s| spare(s).then(|| away(s)));
+            if let Some(server) = picked {
+                return Some(Pick { server, step: Step::Move, kept: 0.0 });
+            }
+        }
+        let load = |s: &Server| {
+            let far = match (near(s), s.listing.zone == home.zone) {
+                (true, _) => 0.0,
+                (false, true) => SPILL,
+                (false, false) => 1.0,
+            };
+            let last = self.last(now, s, sound(s)) * (1.0 + far);
+            self.ranked_load(now, s) + far + self.doubt(now, s, seq) + last
+        };
+        let server = self.least(now, seq, |s| (s.role != Role::Reader).then(|| load(s)))?;
+        let beside = self.fleet[server].listing.cell == home.cell;
+        Some(Pick { server, step: if beside { Step::Write } else { Step::Move }, kept: 0.0 })
+    }
+
+    /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer
+    /// and has begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at
+    /// a time.
+    pub(super) fn select_mixed(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
+        let least = |role: Role| {
+            let open = |s: &Server| s.role == role && self.ready(now, s) && self.has_room(now, s, seq);
+            let idle = |s: &Server| role == Role::Writer || s.out.iter().all(|out| !out.waiting);
+            self.least(now, seq, |s| (open(s) && idle(s)).then(|| self.ranked_load(now, s)))
+        };
+        let mixed = least(Role::Mixed)?;
+        let load = |id: ServerId| self.ranked_load(now, &self.fleet[id]);
+        least(Role::Writer).is_none_or(|writer| load(mixed) < load(writer)).then(|| self.whole(seq, mixed))
+    }
+
+    /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
+    pub(super) fn select_whole(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
+        let open = |s: &Server| self.takes_whole(s.role) && self.ready(now, s);
+        let least = self.least(now, seq, |s| open(s).then(|| self.ranked_load(now, s)));
+        least.map(|server| self.whole(seq, server))
+    }
+
+    pub(super) fn whole(&self, seq: &Sequence, server: ServerId) -> Pick {
+        Pick { server, step: Step::Whole, kept: self.credit(&self.fleet[server], seq, 0.0) }
+    }
+
+    pub(super) fn fresh(&self, now: Nanos, server: &Server) -> f64 {
+        let age = now.saturating_sub(server.reported) as f64;
+        if server.report.memory_share.is_none() { 0.0 } else { (-age / HALF_LIFE as f64).exp2() }
+    }
+
+    pub(super) fn has_room(&self, now: Nanos, server: &Server, seq: &Sequence) -> bool {
+        self.decode_load(now, server) + self.stream_tokens(seq) / server.memory <= FULL
+    }
+
+    /// The last reported share of memory. One that nothing of ours will renew fades, or a server once full
+    /// would never be tried again.
+    pub(super) fn told_share(&self, now: Nanos, server: &Server) -> Option<f64> {
+        let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
+        server.report.memory_share.map(|share| share * (-(age as f64) / HALF_LIFE as f64).exp2())
+    }
+
+    /// The reported share of memory with own streams since, never less than all own streams out.
+    pub(super) fn decode_load(&self, now: Nanos, server: &Server) -> f64 {
+        let own = server.own_tokens(0) / server.memory;
+        let Some(share) = self.told_share(now, server) else { return own };
+        let since = server.own_tokens(server.reported.saturating_sub(REPORT_LAG)) / server.memory;
+        own.max(share + since)
+    }
+
+    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of
+    /// those that have, so that none is the least loaded by being unknown. One that has started anew is
+    /// empty, and kept from too much by its part. Says nothing of room: a gateway that has heard
+    /// from full servers only must not take all for full.
+    pub(super) fn ranked_load(&self, now: Nanos, server: &Server) -> f64 {
+        let told = server.report.memory_share.is_some() || now < server.cold_until;
+        let unknown = if told { 0.0 } else { self.told };
+        self.decode_load(now, server) + unknown
+    }
+
+    /// Memory a stream will hold: its prompt and its answer, half the most where its length is not known.
+    pub(super) fn stream_tokens(&self, seq: &Sequence) -> f64 {
+        let pace = self.deployment.types[seq.traffic.0].token_pace.max(1) as f64;
+        let answer = seq.hint.map_or(seq.max_out / 2.0, |hint| (hint as f64 / pace).min(seq.max_out));
+        seq.prompt_tokens + answer
+    }
+
+    pub(super) fn takes_whole(&self, role: Role) -> bool {
+        role == Role::Mixed || (role == Role::Writer && self.deployment.writers_read)
+    }
+}
--- /dev/null
+++ b/tests/replay.rs
@@ -0,0 +1,163 @@
+//! Recorded courses of events, played again: small fleets are decided on as they were when they were recorded.
+//!
+//! The recording is of the program before candidates (commit 40e7c4e), made by this file with `RECORD_DECISIONS` set.
+
+mod common;
+
+use common::*;
+use oorandom::Rand64;
+use petrelshore::Brain;
+use petrelshore::interface::*;
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// One course: a fleet, how its servers are weighted and told of, and how busy it is.
+struct Course {
+    name: &'static str,
+    servers: u64,
+    weights: Weights,
+    gateways: usize,
+    steps: usize,
+    /// Of so many servers one is mixed.
+    mixed: u64,
+}
+
+const COURSES: [Course; 5] = [
+    Course { name: "tiny", servers: 6, weights: Weights::Unused, gateways: 2, steps: 1500, mixed: 6 },
+    Course { name: "plain", servers: 24, weights: Weights::Unused, gateways: 3, steps: 2000, mixed: 1000 },
+    Course { name: "weighted", servers: 40, weights: Weights::Size, gateways: 30, steps: 2000, mixed: 8 },
+    Course { name: "wide", servers: 100, weights: Weights::Size, gateways: 300, steps: 2500, mixed: 1000 },
+    Course { name: "bound", servers: 128, weights: Weights::Unused, gateways: 20, steps: 2500, mixed: 16 },
+];
+
+fn listing(course: &Course, chance: &mut Rand64, server: u64) -> Listing {
+    let kind = match server {
+        n if n % course.mixed == course.mixed - 1 => 2,
+        n => usize::from(n % 4 > 0),
+    };
+    let weight = 0.5 + chance.rand_float();
+    Listing { weight, zone: ZoneId((server / 4 % 3) as usize), ..entry(server, kind, (server / 4) as i64) }
+}
+
+fn change(chance: &mut Rand64, now: Nanos, list: &mut [Listing]) -> Vec<Listing> {
+    let at = chance.rand_range(0..list.len() as u64) as usize;
+    let entry = &mut list[at];
+    match chance.rand_range(0..4) {
+        0 => entry.condition = Condition::Draining,
+        1 => entry.condition = Condition::Gone,
+        2 => (entry.condition, entry.since) = (Condition::Ready, now),
+        _ => entry.condition = Condition::Ready,
+    }
+    vec![entry.clone()]
+}
+
+fn report(chance: &mut Rand64) -> Report {
+    let share = (chance.rand_float() < 0.9).then(|| chance.rand_float().powi(2));
+    let queue = (chance.rand_float() < 0.5).then(|| chance.rand_float() * 4000.0);
+    Report { memory_share: share, queued_prompt_tokens: queue, in_flight: None }
+}
+
+fn outcome(chance: &mut Rand64, step: Step, prefix: f64) -> Outcome {
+    match chance.rand_range(0..20) {
+        0 => Outcome::Error,
+        1 => Outcome::Full,
+        2 => Outcome::TimedOut,
+        3 => Outcome::ConnectFailed,
+        4 => Outcome::Reset,
+        5 if step != Step::Read => Outcome::NoState,
+        _ if step == Step::Read => {
+            Outcome::ReadDone { kept: if chance.rand_float() < 0.5 { prefix } else { 0.0 } }
+        }
+        _ => Outcome::Generated,
+    }
+}
+
+/// Plays a course and writes down all that was decided.
+fn play(course: &Course, seed: u64) -> String {
+    let mut chance = Rand64::new(seed.into());
+    let settings = Deployment {
+        gateways: course.gateways,
+        weights: course.weights,
+        tenants: vec![Tenant { per_second: 10.0 }; 5],
+        ..deployment()
+    };
+    let mut list: Vec<Listing> = (0..course.servers).map(|n| listing(course, &mut chance, n)).collect();
+    let mut brain = Brain::new(START, settings, seed);
+    brain.listed(START, ListScope::Remembered, &list);
+    let (mut now, mut hand, mut told) = (START, Vec::<Sequence>::new(), String::new());
+    for step in 0..course.steps {
+        now += (chance.rand_float() * 60.0) as Nanos * MS;
+        match chance.rand_range(0..12) {
+            0 => {
+                let changed = change(&mut chance, now, &mut list);
+                brain.listed(now, ListScope::Changes, &changed);
+            }
+            1 if step % 50 == 0 => brain.listed(now, ListScope::Whole, &list),
+            1..=3 => {
+                let server = ServerId(chance.rand_range(0..course.servers));
+                brain.reported(now, server, report(&mut chance));
+            }
+            4..=6 => {
+                let id = step as u64;
+                let prompt_tokens = 200.0 + 3000.0 * chance.rand_float();
+                let mut seq = Sequence {
+                    prompt_tokens,
+                    session: Some(SessionId(chance.rand_range(0..60))),
+                    prefix: (chance.rand_float() < 0.7).then(|| PrefixId(1 + chance.rand_range(0..12))),
+                    prefix_tokens: prompt_tokens / 2.0,
+                    tenant: (chance.rand_float() < 0.8).then(|| TenantId(chance.rand_range(0..5) as usize)),
+                    hint: (chance.rand_float() < 0.3).then(|| chance.rand_range(1..20) * 600 * MS),
+                    ..sequence(id, chance.rand_range(0..5) as usize, now)
+                };
+                let answer = brain.schedule(now, &mut seq);
+                let _ = writeln!(told, "{step} {id} {answer:?} {}", brain.wait(now, &seq));
+                hand.push(seq);
+            }
+            _ if !hand.is_empty() => {
+                let at = chance.rand_range(0..hand.len() as u64) as usize;
+                let seq = &mut hand[at];
+                let out = seq.attempts.iter().position(|a| !matches!(a.status, Status::Closed(_)));
+                if let Some(n) = out {
+                    let (step_taken, begun) = (seq.attempts[n].step, chance.rand_float() < 0.8);
+                    let got = outcome(&mut chance, step_taken, seq.prefix_tokens);
+                    if got == Outcome::Generated && begun {
+                        brain.began(now, seq, n);
+                    }
+                    seq.attempts[n].reached = true;
+                    let settled = brain.settle(now, seq, n, got, got == Outcome::Generated);
+                    let _ = writeln!(told, "{step} {} {settled:?}", seq.id.0);
+                }
+                if !seq.ended {
+                    let answer = brain.schedule(now, seq);
+                    let _ = writeln!(told, "{step} {} {answer:?} {}", seq.id.0, brain.wait(now, seq));
+                }
+                if seq.ended {
+                    hand.swap_remove(at);
+                }
+            }
+            _ => {}
+        }
+    }
+    told
+}
+
+fn file(course: &Course) -> PathBuf {
+    [env!("CARGO_MANIFEST_DIR"), "tests", "recorded", &format!("{}.txt", course.name)].iter().collect()
+}
+
+#[test]
+fn fleets_within_the_bound_are_decided_on_as_before_event_for_event() {
+    for course in &COURSES {
+        let told = play(course, 11);
+        if std::env::var_os("RECORD_DECISIONS").is_some() {
+            std::fs::create_dir_all(file(course).parent().unwrap()).unwrap();
+            std::fs::write(file(course), &told).unwrap();
+        }
+        let recorded = std::fs::read_to_string(file(course)).unwrap();
+        let differs = told.lines().zip(recorded.lines()).position(|(now, before)| now != before);
+        assert_eq!(differs.map(|line| (line, told.lines().nth(line), recorded.lines().nth(line))), None);
+        assert_eq!(told.lines().count(), recorded.lines().count(), "{}", course.name);
+        let sent = told.lines().filter(|line| line.contains("Send")).count();
+        assert!(sent > course.steps / 8, "{}: {sent} sends", course.name);
+    }
+}
