--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -414,6 +414,11 @@
         (taken - generated - rejected - aborted - withdrawn) as usize
     }
 
+    /// Servers that decisions have looked at so far.
+    pub fn examined(&self) -> u64 {
+        self.brain.examined()
+    }
+
     pub fn counts(&self) -> Counts {
         self.counts
     }
--- a/conductor/src/policy.rs
+++ b/conductor/src/policy.rs
@@ -13,6 +13,8 @@
 pub enum Chooser {
     #[default]
     Decisions,
+    /// The decisions, which look at every server of a fleet of any size: to compare with.
+    Scan,
     Baseline,
 }
 
@@ -25,10 +27,19 @@
     pub fn new(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         match chooser {
             Chooser::Decisions => Policy::Decisions(Box::new(Brain::new(now, deployment, seed))),
+            Chooser::Scan => Policy::Decisions(Box::new(Brain::scanning(now, deployment, seed))),
             Chooser::Baseline => Policy::Baseline(Box::new(Baseline::new(deployment, seed))),
         }
     }
 
+    /// Servers looked at so far; none for the baseline.
+    pub fn examined(&self) -> u64 {
+        match self {
+            Policy::Decisions(brain) => brain.examined(),
+            Policy::Baseline(_) => 0,
+        }
+    }
+
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         match self {
             Policy::Decisions(brain) => brain.listed(now, scope, entries),
--- /dev/null
+++ b/scale/src/warm.rs
@@ -0,0 +1,125 @@
+//! One gateway's conductor with times known, taking request after request in virtual time.
+
+use crate::inventory::{self, MILLISECOND, SECOND, Size};
+use petrelshore::interface::*;
+use petrelshore_conductor::proof::Ending;
+use petrelshore_conductor::{Action, Chooser, Conductor, Dispatch, NewSequence, Relay};
+use std::hint::black_box;
+
+/// Requests before anything is measured.
+pub const WARM_UP: u64 = 200;
+/// How long a prefill and the first token of a decode take here.
+const STEP: Nanos = 5 * MILLISECOND;
+/// Most attempts that are followed for one request.
+const ATTEMPTS: usize = 8;
+
+/// What the requests are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub size: Size,
+    /// Requests a second that this gateway takes.
+    pub rate: f64,
+    pub sessions: u64,
+    pub prefixes: u64,
+    /// Part of the servers that takes requests and answers none.
+    pub silent: f64,
+}
+
+pub struct Warm {
+    conductor: Conductor,
+    load: Load,
+    now: Nanos,
+    next: u64,
+    sent: u64,
+}
+
+impl Warm {
+    pub fn new(load: Load, list: &[Listing], chooser: Chooser) -> Self {
+        let deployment = inventory::deployment(load.size, 0);
+        let mut conductor = Conductor::with(SECOND, deployment, 7, chooser);
+        conductor.listed(SECOND, ListScope::Whole, list);
+        Warm { conductor, load, now: 2 * SECOND, next: 0, sent: 0 }
+    }
+
+    /// Attempts that were sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    pub fn now(&self) -> Nanos {
+        self.now
+    }
+
+    pub fn conductor(&mut self) -> &mut Conductor {
+        &mut self.conductor
+    }
+
+    fn silent(&self, server: ServerId) -> bool {
+        (server.0 >> 32) as f64 / (1u64 << 32) as f64 <= self.load.silent
+    }
+
+    /// One request whole: taken, its prompt read, its answer written in ten tokens.
+    pub fn request(&mut self) {
+        let began = self.now;
+        self.next += 1;
+        let id = SeqId(self.next);
+        let tenants = self.load.size.tenants as u64;
+        let new = NewSequence {
+            id,
+            traffic: TypeId(0),
+            tenant: (tenants > 0).then(|| TenantId((self.next % tenants) as usize)),
+            session: Some(SessionId(self.next % self.load.sessions.max(1))),
+            prefix: Some(PrefixId(1 + self.next % self.load.prefixes.max(1))),
+            prompt_tokens: 800.0,
+            prefix_tokens: 400.0,
+            max_out: 100.0,
+            hint: None,
+            resumed: false,
+            relay: Relay::Streamed,
+            abandon_at: self.now + 5 * SECOND,
+            whole_by: None,
+        };
+        let mut out = Vec::new();
+        self.conductor.take(self.now, new, &mut out);
+        for _ in 0..ATTEMPTS {
+            let Some(dispatch) = sent(&out) else { break };
+            out.clear();
+            self.sent += 1;
+            self.answer(id, dispatch, &mut out);
+        }
+        black_box(&out);
+        let between = (SECOND as f64 / self.load.rate) as Nanos;
+        self.now = self.now.max(began + between);
+    }
+
+    /// A server answers an attempt, or its time runs out.
+    fn answer(&mut self, id: SeqId, dispatch: Dispatch, out: &mut Vec<Action>) {
+        if self.silent(dispatch.server) {
+            self.now += dispatch.limit;
+            self.conductor.due(self.now, out);
+            return;
+        }
+        self.now += STEP;
+        let report =
+            Report { memory_share: Some(0.2), queued_prompt_tokens: Some(500.0), in_flight: Some(2.0) };
+        self.conductor.reported(self.now, dispatch.server, report);
+        if dispatch.step == Step::Read {
+            let ending = Ending::ReadDone { kept: 400.0 };
+            return self.conductor.ended(self.now, id, dispatch.attempt, ending, out);
+        }
+        self.conductor.began(self.now, id, dispatch.attempt);
+        for _ in 0..9 {
+            self.now += MILLISECOND / 10;
+            self.conductor.progressed(self.now, id);
+        }
+        self.conductor.ended(self.now, id, dispatch.attempt, Ending::Generated, out);
+        assert!(out.iter().any(|action| matches!(action, Action::Over { .. })));
+    }
+}
+
+fn sent(out: &[Action]) -> Option<Dispatch> {
+    out.iter().find_map(|action| match action {
+        Action::Send(dispatch) => Some(*dispatch),
+        _ => None,
+    })
+}
--- a/src/bounded.rs
+++ b/src/bounded.rs
@@ -1,6 +1,7 @@
 //! A table with a bound: past it the entry that was written longest ago leaves.
 
-use std::collections::{BTreeMap, HashMap};
+use foldhash::HashMap;
+use std::collections::BTreeMap;
 use std::hash::Hash;
 
 struct Entry<V> {
@@ -19,7 +20,7 @@
 impl<K: Copy + Eq + Hash, V> BoundedTable<K, V> {
     /// Holds so many entries at the most, one at the least.
     pub fn new(most: usize) -> Self {
-        BoundedTable { most: most.max(1), entries: HashMap::new(), by_age: BTreeMap::new(), writes: 0 }
+        BoundedTable { most: most.max(1), entries: HashMap::default(), by_age: BTreeMap::new(), writes: 0 }
     }
 
     pub fn get(&self, key: &K) -> Option<&V> {
@@ -28,8 +29,19 @@
 
     /// The entry of a key to be written, made anew where there is none.
     pub fn entry_or_insert_with(&mut self, key: K, new: impl FnOnce() -> V) -> &mut V {
-        self.writes += 1;
-        let written = self.writes;
+        let written = self.write(key);
+        let entry = self.entries.entry(key).or_insert_with(|| Entry { value: new(), written });
+        entry.written = written;
+        &mut entry.value
+    }
+
+    pub fn insert(&mut self, key: K, value: V) {
+        let written = self.write(key);
+        self.entries.insert(key, Entry { value, written });
+    }
+
+    /// Counts a key as written now. Where it is new and the table full, the oldest entry leaves.
+    fn write(&mut self, key: K) -> u64 {
         if let Some(known) = self.entries.get(&key) {
             self.by_age.remove(&known.written);
         } else if self.entries.len() >= self.most
@@ -37,17 +49,9 @@
         {
             self.entries.remove(&oldest);
         }
-        self.by_age.insert(written, key);
-        let entry = self.entries.entry(key).or_insert_with(|| Entry { value: new(), written });
-        entry.written = written;
-        &mut entry.value
-    }
-
-    pub fn insert(&mut self, key: K, value: V)
-    where
-        V: Default,
-    {
-        *self.entry_or_insert_with(key, V::default) = value;
+        self.writes += 1;
+        self.by_age.insert(self.writes, key);
+        self.writes
     }
 
     /// All values, the one written longest ago first.
--- a/src/fleet/index.rs
+++ b/src/fleet/index.rs
@@ -99,6 +99,11 @@
         self.by_cell.get(&cell).map_or(&self.none, |roles| &roles[role as usize])
     }
 
+    /// No servers.
+    pub fn nobody(&self) -> &Members {
+        &self.none
+    }
+
     /// The hash ring of a zone's ready prefill servers.
     pub fn ring(&self, zone: ZoneId) -> Option<&Ring> {
         self.rings.get(&zone)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,17 +1,25 @@
 //! The model servers that a gateway knows, and where to find them: plain data, nothing here decides.
 //!
 //! [`Fleet`] keeps what is known of each [`Server`], and an [`Index`] of those that are listed as ready, so that a
-//! decision can turn to a few of them without looking at all.
+//! decision can turn to a few of them without looking at all. A [`Sampler`] draws from the index, a [`Walk`] goes over
+//! all servers a part at a time.
 
+mod candidates;
 mod index;
 mod ring;
+mod sampler;
 mod server;
+mod survey;
 
+pub use candidates::{Candidates, Group, in_scope};
 pub use index::{Index, Members};
-pub use ring::{Ring, bucket, mix};
+pub use ring::{Ring, bucket, mix, race};
+pub use sampler::{Draw, Sampler};
 pub use server::{Out, Server};
+pub use survey::*;
 
 use crate::interface::*;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Index as Lookup;
 
@@ -26,7 +34,10 @@
     by_id: BTreeMap<ServerId, Slot>,
     generations: u64,
     ring_points: usize,
-    index: Option<Index>,
+    index: Index,
+    /// Whether a list has come since the index was made.
+    stale: bool,
+    examined: Cell<u64>,
 }
 
 impl Fleet {
@@ -40,7 +51,9 @@
             by_id: BTreeMap::new(),
             generations: 0,
             ring_points,
-            index: None,
+            index: Index::default(),
+            stale: true,
+            examined: Cell::new(0),
         }
     }
 
@@ -52,7 +65,7 @@
         entries: &[Listing],
         mut start: impl FnMut(&Listing) -> Server,
     ) {
-        self.index = None;
+        self.stale = true;
         self.drop_gone();
         if scope != ListScope::Changes {
             let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
@@ -109,15 +122,31 @@
 
     /// Makes the index anew where a list has come since, or a server has got warm.
     pub fn refresh(&mut self, now: Nanos) {
-        if self.index.as_ref().is_none_or(|index| now >= index.holds_until) {
+        if self.stale || now >= self.index.holds_until {
             let servers = self.by_id.values().map(|slot| (*slot, &self.slots[*slot]));
-            self.index = Some(Index::new(now, servers, self.ring_points));
+            self.index = Index::new(now, servers, self.ring_points);
+            self.stale = false;
         }
     }
 
-    /// The index as of the last [`Fleet::refresh`]; none where a list has come since.
-    pub fn index(&self) -> Option<&Index> {
-        self.index.as_ref()
+    /// The index as of the last [`Fleet::refresh`].
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// Ready servers of a role in one cell.
+    pub fn cell(&self, cell: CellId, role: Role) -> &Members {
+        self.index.cell(cell, role)
+    }
+
+    /// Servers that decisions have looked at so far.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    /// Counts servers that are looked at.
+    fn count(&self, servers: usize) {
+        self.examined.set(self.examined.get() + servers as u64);
     }
 
     pub fn len(&self) -> usize {
--- a/src/fleet/ring.rs
+++ b/src/fleet/ring.rs
@@ -46,6 +46,13 @@
     bucket
 }
 
+/// How late a name comes in for a key: it comes first for its part of all keys, the same at every gateway (weighted
+/// rendezvous hashing).
+pub fn race(key: u64, name: u64, part: f64) -> f64 {
+    let lot = mix(key ^ mix(name)) as f64 / u64::MAX as f64;
+    -lot.max(1e-18).ln() / part.max(1e-9)
+}
+
 /// Spreads the bits of a number (the finalizer of splitmix64).
 pub fn mix(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,6 +47,30 @@
     pub tick: Nanos,
 }
 
+impl Deployment {
+    /// Whether a server of this role takes sequences whole.
+    pub fn takes_whole(&self, role: Role) -> bool {
+        role == Role::Mixed || (role == Role::Writer && self.writers_read)
+    }
+
+    /// Whether a step shows that it goes well before all of it is done: an answer that comes whole does not.
+    pub fn shows(&self, traffic: TypeId, step: Step) -> bool {
+        step == Step::Read || self.types[traffic.0].delivery == Delivery::Streamed
+    }
+
+    /// A type's utility against the highest.
+    pub fn utility(&self, traffic: TypeId) -> f64 {
+        let highest = self.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
+        self.types[traffic.0].utility / highest
+    }
+
+    /// The time to the first token that a sequence is meant to have.
+    pub fn slo(&self, seq: &Sequence) -> Nanos {
+        let traffic = &self.types[seq.traffic.0];
+        traffic.latency_slo.saturating_add((seq.prompt_tokens * traffic.slo_per_prompt_token as f64) as Nanos)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct TrafficType {
     pub utility: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod decay;
 pub mod fleet;
 pub mod interface;
+pub mod proof;
 mod scheduler;
+pub mod statistics;
 
-pub use scheduler::{Brain, held_since};
+pub use proof::held_since;
+pub use scheduler::Brain;
--- /dev/null
+++ b/src/proof.rs
@@ -0,0 +1,32 @@
+//! What the attempts of a sequence prove: whether one may have run, and since when something may be held.
+
+use crate::interface::*;
+
+/// The first attempt that may have taken effect. Prefills have none.
+pub fn maybe_ran(seq: &Sequence) -> Option<&Attempt> {
+    seq.attempts.iter().find(|attempt| {
+        use Outcome::*;
+        let proven = matches!(attempt.status, Status::Closed(Full | NoState | ConnectFailed | NeverSent));
+        attempt.step != Step::Read && !proven
+    })
+}
+
+/// Rule 5: since when something may be held for a sequence with nothing out, once this attempt has ended.
+/// Every read that ran may have left its state, whatever came back; a writer that finds none leaves those of
+/// older reads. The time starts anew only where the server had the attempt: while connections fail to come
+/// up, or swallow what they are given, it runs on.
+pub fn held_since(now: Nanos, seq: &Sequence, attempt: &Attempt, got: Outcome) -> Option<Nanos> {
+    use Outcome::*;
+    let leaves = |a: &Attempt| {
+        let unrun = matches!(a.status, Status::Closed(ConnectFailed | NeverSent | Full));
+        a.step == Step::Read && !unrun
+    };
+    let reads = seq.attempts.iter().filter(|a| leaves(a)).count();
+    let missing = seq.attempts.iter().filter(|a| a.status == Status::Closed(NoState)).count();
+    match seq.held_since {
+        None => leaves(attempt).then_some(now),
+        Some(_) if got == NoState && reads <= missing => None,
+        Some(since) if !attempt.reached || matches!(got, ConnectFailed | NeverSent) => Some(since),
+        Some(_) => Some(now),
+    }
+}
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -12,8 +12,8 @@
 pub(super) const OVER_SHARE: f64 = 1.2;
 
 impl Brain {
-    /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also
-    /// holds against lost servers and slow links; hurts when a short jam clears faster than it seems.
+    /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also holds
+    /// against lost servers and slow links; hurts when a short jam clears faster than it seems.
     pub(super) fn overloaded(&self, now: Nanos, seq: &Sequence, pick: &Pick) -> bool {
         if seq.resumed {
             return false;
@@ -22,66 +22,47 @@
         let wait = match pick.step {
             // Guards against turning the longest prompts away first, by whatever makes all wait.
             Step::Read => {
-                let longer = seq.prompt_tokens - pick.kept - OWN_PART * self.mean_prompt(now);
+                let longer = seq.prompt_tokens - pick.kept - OWN_PART * self.stats.mean_prompt(now);
                 let work = self.read_work(now, &self.fleet[pick.server], seq, pick.kept);
                 self.read_wait(now, work - longer.max(0.0)) + time(Step::Write)
             }
             step => time(step),
         };
         let value = self.value(now, seq);
-        let answering = self.fleet.values().filter(|s| s.role != Role::Reader && self.ready(now, s));
+        let among = self.decode_candidates(seq, Some(&self.fleet[pick.server].listing));
+        let answering = self.fleet.among(&among).filter(|s| s.role != Role::Reader && self.ready(now, s));
         let load = answering.map(|s| self.decode_load(now, s)).min_by(f64::total_cmp);
         if load.is_some_and(|load| load > FULL - (1.0 - value) * RESERVE) {
             return true;
         }
         let slack = 0.5 + 0.5 * value;
-        let left = (self.slo(seq) as f64).min(seq.abandon_at.saturating_sub(now) as f64);
+        let left = (self.deployment.slo(seq) as f64).min(seq.abandon_at.saturating_sub(now) as f64);
         wait > left * slack
     }
 
     /// Queued prompt tokens, reported or own, and this prompt less what the reader should have kept of it.
     pub(super) fn read_work(&self, now: Nanos, server: &Server, seq: &Sequence, kept: f64) -> f64 {
         let own = server.own_tokens(0);
-        let queued = match server.report.queued_prompt_tokens {
-            Some(queue) => {
-                let age = now.saturating_sub(server.reported) as f64;
-                let faded = queue * (-age / REPORT_LAG as f64).exp2();
-                own.max(faded + server.own_tokens(server.reported.saturating_sub(REPORT_LAG)))
-            }
-            None => own,
-        };
+        let queued = server.report.queued_prompt_tokens.map_or(own, |queue| {
+            let age = now.saturating_sub(server.reported) as f64;
+            let faded = queue * (-age / REPORT_LAG as f64).exp2();
+            own.max(faded + server.own_tokens(server.reported.saturating_sub(REPORT_LAG)))
+        });
         queued + seq.prompt_tokens - kept
     }
 
-    /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is
-    /// known.
+    /// How long such prompt work has taken of late, hidden queues included; it fades when hardly a read is known.
     pub(super) fn read_wait(&self, now: Nanos, work: f64) -> f64 {
-        self.read_time.read(now) * work / (self.read_tokens.read(now) + UNREAD * work).max(1.0)
-    }
-
-    /// The mean prompt of what was admitted of late.
-    pub(super) fn mean_prompt(&self, now: Nanos) -> f64 {
-        let admitted: f64 = self.admitted.iter().map(|sum| sum.read(now)).sum();
-        self.admitted_tokens.read(now) / admitted.max(1e-9)
-    }
-
-    pub(super) fn utility(&self, seq: &Sequence) -> f64 {
-        let highest = self.deployment.types.iter().map(|t| t.utility).fold(f64::MIN_POSITIVE, f64::max);
-        self.deployment.types[seq.traffic.0].utility / highest
+        self.stats.read_time.read(now) * work / (self.stats.read_tokens.read(now) + UNREAD * work).max(1.0)
     }
 
     /// Utility against the highest, less for a tenant past its share.
     pub(super) fn value(&self, now: Nanos, seq: &Sequence) -> f64 {
-        let utility = self.utility(seq);
+        let utility = self.deployment.utility(seq.traffic);
         let over = seq.tenant.is_some_and(|TenantId(tenant)| {
             let part = self.deployment.tenants[tenant].per_second / self.deployment.gateways as f64;
-            self.tenants[tenant].per_second(now, self.started) > OVER_SHARE * part
+            self.stats.tenants[tenant].per_second(now, self.stats.started) > OVER_SHARE * part
         });
         if over { utility * self.deployment.over_share_utility } else { utility }
     }
-
-    pub(super) fn slo(&self, seq: &Sequence) -> Nanos {
-        let traffic = &self.deployment.types[seq.traffic.0];
-        traffic.latency_slo.saturating_add((seq.prompt_tokens * traffic.slo_per_prompt_token as f64) as Nanos)
-    }
 }
--- a/src/scheduler/affinity.rs
+++ b/src/scheduler/affinity.rs
@@ -9,26 +9,13 @@
 /// Half-life of how often a shared text was sent: about how long a reader keeps one that is not read again.
 pub(super) const TEXT_LIFE: Nanos = 10_000_000_000;
 
-#[derive(Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) enum Text {
-    Session(SessionId),
-    Prefix(PrefixId),
-}
-
-/// Text that a server was sent, and how much it had been sent in all by then.
-#[derive(Default)]
-pub(super) struct Kept {
-    tokens: f64,
-    read_before: f64,
-}
-
 impl Brain {
-    /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways'
-    /// part. A shared text may have come to it through other gateways, with that probability.
+    /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways' part. A
+    /// shared text may have come to it through other gateways, with that probability.
     pub(super) fn credit(&self, server: &Server, seq: &Sequence, elsewhere: f64) -> f64 {
         let room = server.memory / self.deployment.gateways as f64;
         let live = |text: Text| {
-            let kept = self.kept.get(&(server.generation, text))?;
+            let kept = self.stats.kept.get(&(server.generation, text))?;
             let there = kept.read_before >= server.forgotten && server.read_in_all - kept.read_before < room;
             there.then_some(kept.tokens)
         };
@@ -39,7 +26,7 @@
 
     /// How often this gateway has sent a sequence's shared text of late.
     pub(super) fn text_sent(&self, now: Nanos, seq: &Sequence) -> f64 {
-        seq.prefix.and_then(|id| self.prefixes.get(&id)).map_or(0.0, |sent| sent.read(now))
+        seq.prefix.and_then(|id| self.stats.prefixes.get(&id)).map_or(0.0, |sent| sent.read(now))
     }
 
     /// A server is sent a sequence's texts, of which it should have kept so many tokens.
@@ -50,13 +37,13 @@
         let generation = server.generation;
         if let Some(id) = seq.session {
             let kept = Kept { tokens: seq.prompt_tokens, read_before };
-            self.kept.insert((generation, Text::Session(id)), kept);
+            self.stats.kept.insert((generation, Text::Session(id)), kept);
         }
         if let Some(id) = seq.prefix {
             let kept = Kept { tokens: seq.prefix_tokens, read_before };
-            self.kept.insert((generation, Text::Prefix(id)), kept);
-            self.prefixes.entry_or_insert_with(id, || DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
-            self.texts.add(now, 1.0);
+            self.stats.kept.insert((generation, Text::Prefix(id)), kept);
+            self.stats.prefixes.entry_or_insert_with(id, || DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
+            self.stats.texts.add(now, 1.0);
         }
     }
 }
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -12,17 +12,17 @@
 pub(super) const RECHECK: Nanos = 20_000_000;
 
 impl Brain {
-    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking.
-    /// Where nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
+    /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking. Where
+    /// nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         let left = seq.abandon_at.saturating_sub(now);
         let Some(attempt) = seq.attempts.last().filter(|a| a.status == Status::Out) else {
             return self.recheck().min(left);
         };
         let once = self.deployment.types[seq.traffic.0].effect == Effect::OnceOnly;
-        if (attempt.step != Step::Read && once) || !self.shows(seq, attempt.step) {
-            // A time-out proves nothing: only an answer lets a once-only sequence end well. And the times of
-            // first tokens say nothing of an answer that comes whole.
+        if (attempt.step != Step::Read && once) || !self.deployment.shows(seq.traffic, attempt.step) {
+            // A time-out proves nothing: only an answer lets a once-only sequence end well. And the times of first
+            // tokens say nothing of an answer that comes whole.
             return left;
         }
         let work = self.read_wait(now, attempt.tokens);
@@ -34,17 +34,19 @@
             Step::Move => all.map(|all| all.max(fellows.unwrap_or(0.0))),
             _ => fellows.or(all),
         };
-        // Time-outs make the usual time longer: where few answers are known, one server that hangs must not
-        // get all the time there is. An SLO's worth is left for the next attempt.
+        // Time-outs make the usual time longer: where few answers are known, one server that hangs must not get all
+        // the time there is. An SLO's worth is left for the next attempt.
         let last = attempt.step == Step::Read || seq.attempts.len() >= self.most_attempts(seq);
-        let most = if last { left } else { left.saturating_sub(self.slo(seq)).max(left / 2) };
-        usual.map_or(left / 2, |usual| (PATIENCE * usual.max(self.slo(seq) as f64 / 6.0)) as Nanos).min(most)
+        let most = if last { left } else { left.saturating_sub(self.deployment.slo(seq)).max(left / 2) };
+        usual
+            .map_or(left / 2, |usual| (PATIENCE * usual.max(self.deployment.slo(seq) as f64 / 6.0)) as Nanos)
+            .min(most)
     }
 
     /// A read and a write are everyone's; further attempts go by utility.
     pub(super) fn most_attempts(&self, seq: &Sequence) -> usize {
         let further = self.deployment.max_attempts.saturating_sub(2) as f64;
-        self.deployment.max_attempts.min(2 + (further * self.utility(seq)).ceil() as usize)
+        self.deployment.max_attempts.min(2 + (further * self.deployment.utility(seq.traffic)).ceil() as usize)
     }
 
     /// Nothing further: its attempts are used up, or none may begin any more.
@@ -54,7 +56,7 @@
 
     /// Until when another attempt may begin, once one may have run: the group forgets what it has seen.
     pub fn send_by(&self, seq: &Sequence) -> Option<Nanos> {
-        let first = self.maybe_ran(seq)?;
+        let first = maybe_ran(seq)?;
         match self.deployment.types[seq.traffic.0].effect {
             Effect::Repeatable => None,
             Effect::Tokened { window, .. } => Some(first.sent.saturating_add(window)),
@@ -62,40 +64,28 @@
         }
     }
 
-    /// Whether the attempts left can end in an answer, by the roles there are. Guards against holding what no
-    /// server that may come would change.
+    /// Whether the attempts left can end in an answer, by the roles there are.
     pub(super) fn may_go_on(&self, seq: &Sequence, state: bool) -> bool {
-        let whole = self.deployment.kinds.iter().any(|kind| self.takes_whole(kind.role));
+        let whole = self.deployment.kinds.iter().any(|kind| self.deployment.takes_whole(kind.role));
         seq.attempts.len() + if state || whole { 1 } else { 2 } <= self.most_attempts(seq)
     }
 
-    /// The first attempt that may have taken effect. Reads have none.
-    pub(super) fn maybe_ran<'a>(&self, seq: &'a Sequence) -> Option<&'a Attempt> {
-        seq.attempts.iter().find(|attempt| {
-            use Outcome::*;
-            let proven = matches!(attempt.status, Status::Closed(Full | NoState | ConnectFailed | NeverSent));
-            attempt.step != Step::Read && !proven
+    /// Tokened: once an attempt may have run, only within the group that knows its repeats: that of its server. Where
+    /// that one is not known any more, nobody is in it.
+    pub(super) fn scope(&self, seq: &Sequence) -> Option<Group> {
+        let Effect::Tokened { scope, .. } = self.deployment.types[seq.traffic.0].effect else { return None };
+        let first = maybe_ran(seq).filter(|_| scope != Scope::All)?;
+        Some(match (scope, self.fleet.get(first.server)) {
+            (_, None) => Group::Nobody,
+            (Scope::Cell, Some(known)) => Group::Cell(known.listing.cell),
+            (_, Some(known)) => Group::Zone(known.listing.zone),
         })
     }
 
-    /// Tokened: once an attempt may have run, only within the group that knows its repeats.
-    pub(super) fn in_scope(&self, seq: &Sequence, server: &Server) -> bool {
-        let Effect::Tokened { scope, .. } = self.deployment.types[seq.traffic.0].effect else {
-            return true;
-        };
-        let Some(first) = self.maybe_ran(seq) else { return true };
-        let known = self.fleet.get(first.server).map(|first| &first.listing);
-        match scope {
-            Scope::All => true,
-            Scope::Zone => known.is_some_and(|first| first.zone == server.listing.zone),
-            Scope::Cell => known.is_some_and(|first| first.cell == server.listing.cell),
-        }
-    }
-
-    /// A sequence that nothing can take is held for part of its SLO, or of its client's time where that is
-    /// shorter, its state within the time to release, and always so that the next look comes in time.
+    /// A sequence that nothing can take is held for part of its SLO, or of its client's time where that is shorter,
+    /// its state within the time to release, and always so that the next look comes in time.
     pub(super) fn may_hold(&self, now: Nanos, seq: &Sequence) -> bool {
-        let whole = self.slo(seq).min(seq.abandon_at.saturating_sub(seq.arrived));
+        let whole = self.deployment.slo(seq).min(seq.abandon_at.saturating_sub(seq.arrived));
         let until = seq.arrived.saturating_add((whole as f64 * HOLD) as Nanos);
         let next = now + self.recheck();
         now < until && next + self.deployment.tick < seq.abandon_at && !self.pinned(next, seq)
@@ -119,7 +109,7 @@
     /// The final answer: a rejection where a retry is provably harmless, an abort elsewhere.
     pub(super) fn give_up(&self, now: Nanos, seq: &mut Sequence) -> Schedule {
         let release = !seq.attempts.is_empty();
-        let harmless_until = match (self.maybe_ran(seq), self.deployment.types[seq.traffic.0].effect) {
+        let harmless_until = match (maybe_ran(seq), self.deployment.types[seq.traffic.0].effect) {
             (None, _) | (_, Effect::Repeatable) => Nanos::MAX,
             (Some(first), Effect::Tokened { scope: Scope::All, window }) => first.sent.saturating_add(window),
             _ => now,
@@ -129,28 +119,8 @@
             return Schedule::Aborted { release };
         }
         // No client is sent away past the time in which its coming again is harmless.
-        let most = (self.slo(seq) / 2).min((harmless_until - now) / 2);
+        let most = (self.deployment.slo(seq) / 2).min((harmless_until - now) / 2);
         let retry_after = self.deployment.longest_retry_after.map(|longest| longest.min(most));
         Schedule::Rejected { retry_after, release }
     }
 }
-
-/// Rule 5: since when something may be held for a sequence with nothing out, once this attempt has ended.
-/// Every read that ran may have left its state, whatever came back; a writer that finds none leaves those of
-/// older reads. The time starts anew only where the server had the attempt: while connections fail to come
-/// up, or swallow what they are given, it runs on.
-pub fn held_since(now: Nanos, seq: &Sequence, attempt: &Attempt, got: Outcome) -> Option<Nanos> {
-    use Outcome::*;
-    let leaves = |a: &Attempt| {
-        let unrun = matches!(a.status, Status::Closed(ConnectFailed | NeverSent | Full));
-        a.step == Step::Read && !unrun
-    };
-    let reads = seq.attempts.iter().filter(|a| leaves(a)).count();
-    let missing = seq.attempts.iter().filter(|a| a.status == Status::Closed(NoState)).count();
-    match seq.held_since {
-        None => leaves(attempt).then_some(now),
-        Some(_) if got == NoState && reads <= missing => None,
-        Some(since) if !attempt.reached || matches!(got, ConnectFailed | NeverSent) => Some(since),
-        Some(_) => Some(now),
-    }
-}
--- a/src/scheduler/decode.rs
+++ b/src/scheduler/decode.rs
@@ -10,31 +10,35 @@
 pub(super) const ZONE_AWAY: f64 = 0.25;
 
 impl Brain {
-    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions.
-    /// A state leaves a cell that is much fuller than another of the hall. And a cell that reads more than
-    /// its writers can take hands on the rest, by lot to where less is read, while their loads are not known.
+    /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions. A state
+    /// leaves a cell that is much fuller than another of the hall. And a cell that reads more than its writers can
+    /// take hands on the rest, by lot to where less is read, while their loads are not known.
     pub(super) fn select_decode(&mut self, now: Nanos, seq: &Sequence, reader: ServerId) -> Option<Pick> {
         let chance = self.chance.rand_float();
         let home = &self.fleet[reader].listing;
-        let no_writers = self.cells.values().all(|cell| cell.writers <= 0.0);
-        let writes = |s: &Server| s.role == Role::Writer || (no_writers && s.role == Role::Mixed);
+        let writes = |s: &Server| s.role == Role::Writer || (self.shares.no_writers && s.role == Role::Mixed);
+        let among = self.decode_candidates(seq, Some(home));
         let near = |s: &Server| s.listing.cell == home.cell && writes(s);
         let sound = |s: &Server| s.role != Role::Reader && self.ready(now, s) && self.has_room(now, s, seq);
-        let known = self.fleet.values().filter(|s| near(s)).map(|s| self.fresh(now, s)).fold(0.0, f64::max);
-        let leave = self.cells.get(&home.cell).map_or(0.0, |c| 1.0 - c.writers / c.reads.max(1e-9));
+        let fresh = |s: &Server| {
+            let age = now.saturating_sub(s.reported) as f64 / HALF_LIFE as f64;
+            s.report.memory_share.map_or(0.0, |_| (-age).exp2())
+        };
+        let known = self.fleet.among(&among).filter(|s| near(s)).map(fresh).fold(0.0, f64::max);
+        let leave = self.shares.cells.get(&home.cell).map_or(0.0, |c| 1.0 - c.writers / c.reads.max(1e-9));
         if chance < leave * (1.0 - known) {
             let away = |s: &Server| {
-                let cell = &self.cells[&s.listing.cell];
+                let cell = self.shares.cells.get(&s.listing.cell).filter(|c| c.spare() > 0.0 && sound(s))?;
                 let zone = if cell.zone == home.zone { 1.0 } else { ZONE_AWAY };
-                race(seq.id.0, s, zone * cell.spare() * s.weight / cell.writers.max(1e-9))
+                let part = zone * cell.spare() * s.weight / cell.writers.max(1e-9);
+                Some(race(seq.id.0, s.listing.server.0, part))
             };
-            let spare =
-                |s: &Server| self.cells.get(&s.listing.cell).is_some_and(|c| c.spare() > 0.0) && sound(s);
-            let picked = self.least(now, seq, |s| spare(s).then(|| away(s)));
+            let picked = self.least(now, seq, &among, &away);
             if let Some(server) = picked {
                 return Some(Pick { server, step: Step::Move, kept: 0.0 });
             }
         }
+        let failing = self.failing(now, seq);
         let load = |s: &Server| {
             let far = match (near(s), s.listing.zone == home.zone) {
                 (true, _) => 0.0,
@@ -42,21 +46,25 @@
                 (false, false) => 1.0,
             };
             let last = self.last(now, s, sound(s)) * (1.0 + far);
-            self.ranked_load(now, s) + far + self.doubt(now, s, seq) + last
+            self.ranked_load(now, s) + far + self.doubt(now, s, seq, failing) + last
         };
-        let server = self.least(now, seq, |s| (s.role != Role::Reader).then(|| load(s)))?;
+        let by = |s: &Server| (s.role != Role::Reader).then(|| load(s));
+        let server = self.search(now, seq, &among, &ANSWERING, &by)?;
         let beside = self.fleet[server].listing.cell == home.cell;
         Some(Pick { server, step: if beside { Step::Write } else { Step::Move }, kept: 0.0 })
     }
 
-    /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer
-    /// and has begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at
-    /// a time.
+    /// Mixed servers take their share of sequences whole: while one holds less than the least loaded writer and has
+    /// begun all that it was sent. Reading slows its answers, so each gateway gives it one prompt at a time.
     pub(super) fn select_mixed(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
+        if self.fleet.pool(Role::Mixed, None).is_empty() {
+            return None;
+        }
+        let among = self.decode_candidates(seq, None);
         let least = |role: Role| {
             let open = |s: &Server| s.role == role && self.ready(now, s) && self.has_room(now, s, seq);
             let idle = |s: &Server| role == Role::Writer || s.out.iter().all(|out| !out.waiting);
-            self.least(now, seq, |s| (open(s) && idle(s)).then(|| self.ranked_load(now, s)))
+            self.least(now, seq, &among, &|s| (open(s) && idle(s)).then(|| self.ranked_load(now, s)))
         };
         let mixed = least(Role::Mixed)?;
         let load = |id: ServerId| self.ranked_load(now, &self.fleet[id]);
@@ -65,26 +73,22 @@
 
     /// Where no reader can be had, or no attempt would be left to answer after a read: whoever does both.
     pub(super) fn select_whole(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
-        let open = |s: &Server| self.takes_whole(s.role) && self.ready(now, s);
-        let least = self.least(now, seq, |s| open(s).then(|| self.ranked_load(now, s)));
-        least.map(|server| self.whole(seq, server))
+        let open = |s: &Server| self.deployment.takes_whole(s.role) && self.ready(now, s);
+        let by = |s: &Server| open(s).then(|| self.ranked_load(now, s));
+        let found = self.search(now, seq, &self.decode_candidates(seq, None), &ANSWERING, &by);
+        found.map(|server| self.whole(seq, server))
     }
 
     pub(super) fn whole(&self, seq: &Sequence, server: ServerId) -> Pick {
         Pick { server, step: Step::Whole, kept: self.credit(&self.fleet[server], seq, 0.0) }
     }
 
-    pub(super) fn fresh(&self, now: Nanos, server: &Server) -> f64 {
-        let age = now.saturating_sub(server.reported) as f64;
-        if server.report.memory_share.is_none() { 0.0 } else { (-age / HALF_LIFE as f64).exp2() }
-    }
-
     pub(super) fn has_room(&self, now: Nanos, server: &Server, seq: &Sequence) -> bool {
         self.decode_load(now, server) + self.stream_tokens(seq) / server.memory <= FULL
     }
 
-    /// The last reported share of memory. One that nothing of ours will renew fades, or a server once full
-    /// would never be tried again.
+    /// The last reported share of memory. One that nothing of ours will renew fades, or a server once full would
+    /// never be tried again.
     pub(super) fn told_share(&self, now: Nanos, server: &Server) -> Option<f64> {
         let age = if server.out.is_empty() { now.saturating_sub(server.reported) } else { 0 };
         server.report.memory_share.map(|share| share * (-(age as f64) / HALF_LIFE as f64).exp2())
@@ -98,13 +102,12 @@
         own.max(share + since)
     }
 
-    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of
-    /// those that have, so that none is the least loaded by being unknown. One that has started anew is
-    /// empty, and kept from too much by its part. Says nothing of room: a gateway that has heard
-    /// from full servers only must not take all for full.
+    /// The load by which servers that answer are ranked: one that has told none yet comes as the mean of those that
+    /// have, one that has started anew as empty. Says nothing of room: a gateway that has heard from full servers
+    /// only must not take all for full.
     pub(super) fn ranked_load(&self, now: Nanos, server: &Server) -> f64 {
         let told = server.report.memory_share.is_some() || now < server.cold_until;
-        let unknown = if told { 0.0 } else { self.told };
+        let unknown = if told { 0.0 } else { self.shares.told };
         self.decode_load(now, server) + unknown
     }
 
@@ -114,8 +117,4 @@
         let answer = seq.hint.map_or(seq.max_out / 2.0, |hint| (hint as f64 / pace).min(seq.max_out));
         seq.prompt_tokens + answer
     }
-
-    pub(super) fn takes_whole(&self, role: Role) -> bool {
-        role == Role::Mixed || (role == Role::Writer && self.deployment.writers_read)
-    }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,81 +1,65 @@
 //! Where a request's prompt is read, where its answer is written, and what follows each outcome.
 //!
-//! A gateway keeps one `Brain` and holds its sequences itself. It asks three things: `schedule` (where to
-//! send this sequence, or not yet, or never), `settle` (what to do after this outcome) and `wait` (how long
-//! to wait: for the attempt just sent, else before asking again). Other facts are told: `listed`, `refused`,
-//! `began`, `reported`. The types that cross are in `interface`; fading sums are in `decay`, servers in `fleet`.
+//! A gateway keeps one `Brain` and holds its sequences itself. It asks `schedule` (where to send a sequence, or not
+//! yet, or never), `settle` (what to do after an outcome) and `wait` (how long to wait: for the attempt just sent,
+//! else before asking again). Other facts are told. What is remembered is in `statistics`, servers are in `fleet`.
 
 mod admission;
 mod affinity;
 mod attempts;
+mod candidates;
 mod cell_shares;
 mod decode;
 mod outlier;
 mod prefill;
 mod slow_start;
 
-pub use attempts::held_since;
-
-use crate::bounded::BoundedTable;
-use crate::decay::{DecayingSum, FadingShare, FadingTimes};
-use crate::fleet::{Fleet, Out, Server, mix};
+use crate::decay::{DecayingSum, FadingShare};
+use crate::fleet::*;
 use crate::interface::*;
+use crate::proof::{held_since, maybe_ran};
+use crate::statistics::*;
 use affinity::*;
-use prefill::race;
-
-use cell_shares::*;
+use candidates::*;
 use decode::*;
 use oorandom::Rand64;
 use outlier::*;
-use std::collections::{BTreeMap, HashMap};
+use std::cell::RefCell;
+use std::collections::HashMap;
 
 /// Memory of measured times and rates: long against one answer, short against a trouble.
 const HALF_LIFE: Nanos = 4_000_000_000;
 /// Memory of the read pace that refusal goes by: a jam that has cleared must not go on turning work away.
 const READ_LIFE: Nanos = 2_000_000_000;
-/// Bounds of the tables: failures by server, traffic type and tenant, by the last two alone, prompts by server, texts.
-const FAILURES: usize = 8_192;
-const STREAMS: usize = 64;
-const KEPT: usize = 65_536;
-const PREFIXES: usize = 8_192;
+/// What is remembered, and bounds of its tables: failures by traffic type and tenant, and at each server, texts that
+/// servers were sent, shared texts.
+const MEMORY: Memory = Memory {
+    times: HALF_LIFE,
+    prefills: READ_LIFE,
+    texts: TEXT_LIFE,
+    most_streams: 64,
+    most_failures: 8_192,
+    most_kept: 65_536,
+    most_prefixes: 8_192,
+};
 /// Points of a prefill server on its zone's hash ring.
 const RING_POINTS: usize = 8;
 
-/// What a server may treat apart: a traffic type of a tenant.
-type Stream = (TypeId, Option<TenantId>);
-
 pub struct Brain {
     deployment: Deployment,
-    started: Nanos,
     chance: Rand64,
     fleet: Fleet,
+    sampler: RefCell<Sampler>,
+    /// Fleets up to this size are looked at whole.
+    bound: usize,
+    stats: Statistics,
+    survey: Option<Survey>,
     surveyed: Option<Nanos>,
-    cells: BTreeMap<CellId, Cell>,
+    shares: Shares,
     /// For each role, the high quantile of answer times that its servers have in the middle.
     usual: [Option<(f64, f64)>; 3],
-    /// The mean share of memory that servers which answer have told.
-    told: f64,
-    /// Answer times of late, of all servers together, by step.
-    times: [FadingTimes; 4],
-    /// Attempts of late that failed, of all servers together and by server.
-    failed: BoundedTable<Stream, FadingShare>,
-    failed_at: BoundedTable<(u64, Stream), FadingShare>,
-    /// Sequences admitted of late: those read at a reader first, and those taken whole.
-    admitted: [DecayingSum; 2],
-    /// Their prompt tokens.
-    admitted_tokens: DecayingSum,
-    tenants: Vec<DecayingSum>,
-    /// Time that reads took, and the prompt work they were sent into.
-    read_time: DecayingSum,
-    read_tokens: DecayingSum,
-    /// Texts that servers were sent.
-    kept: BoundedTable<(u64, Text), Kept>,
-    /// How often a shared text was sent of late, and all of them together.
-    prefixes: BoundedTable<PrefixId, DecayingSum>,
-    texts: DecayingSum,
-    /// At how many readers new texts are at home, and the share of reads that did not find theirs.
+    /// At how many readers new texts are at home.
     new_homes: f64,
-    missed: FadingShare,
     refusals: u32,
 }
 
@@ -88,32 +72,33 @@
 
 impl Brain {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
+        let stats = Statistics::new(now, deployment.tenants.len(), MEMORY);
         Brain {
-            started: now,
             chance: Rand64::new(seed.into()),
             fleet: Fleet::new(deployment.kinds.clone(), deployment.weights, RING_POINTS),
+            sampler: RefCell::new(Sampler::new(seed)),
+            bound: SMALL_FLEET,
+            stats,
+            survey: None,
             surveyed: None,
-            cells: BTreeMap::new(),
+            shares: Shares::default(),
             usual: [None; 3],
-            told: 0.0,
-            times: std::array::from_fn(|_| FadingTimes::new(HALF_LIFE)),
-            failed: BoundedTable::new(STREAMS),
-            failed_at: BoundedTable::new(FAILURES),
-            admitted: std::array::from_fn(|_| DecayingSum::new(HALF_LIFE)),
-            admitted_tokens: DecayingSum::new(HALF_LIFE),
-            tenants: vec![DecayingSum::new(HALF_LIFE); deployment.tenants.len()],
-            read_time: DecayingSum::new(READ_LIFE),
-            read_tokens: DecayingSum::new(READ_LIFE),
-            kept: BoundedTable::new(KEPT),
-            prefixes: BoundedTable::new(PREFIXES),
-            texts: DecayingSum::new(TEXT_LIFE),
             new_homes: NEW_HOMES,
-            missed: FadingShare::new(TEXT_LIFE),
             refusals: 0,
             deployment,
         }
     }
 
+    /// The same decisions over all servers, however many there are: to compare with.
+    pub fn scanning(now: Nanos, deployment: Deployment, seed: u64) -> Self {
+        Brain { bound: usize::MAX, ..Self::new(now, deployment, seed) }
+    }
+
+    /// Servers looked at so far.
+    pub fn examined(&self) -> u64 {
+        self.fleet.examined()
+    }
+
     /// The list of servers, or what has changed in it. A server that started anew has forgotten everything.
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         self.refusals = 0;
@@ -148,14 +133,13 @@
         self.survey(now);
         let first = !seq.admitted && seq.attempts.is_empty();
         if let Some(TenantId(tenant)) = seq.tenant.filter(|_| first && seq.arrived == now) {
-            self.tenants[tenant].add(now, 1.0);
+            self.stats.tenants[tenant].add(now, 1.0);
         }
         if now + self.recheck() >= seq.abandon_at || self.spent(now, seq) || self.pinned(now, seq) {
             return self.give_up(now, seq);
         }
-        // Guards against asking for a state that went with its reader, or with a writer whose answer went
-        // wrong once begun: asked for in vain, it costs the attempt that a new read and write need. Its clock
-        // runs on. Where too few attempts are left for both, the last one may still find it.
+        // Guards against asking in vain for a state that went with its reader, or with a writer whose answer went
+        // wrong once begun. Where too few attempts are left for a new read and write, the last one may find it.
         let wrong = |a: &Attempt| matches!(a.status, Status::Closed(Outcome::Error | Outcome::Reset));
         let anew = seq.attempts.len() + 2 <= self.most_attempts(seq);
         let wrong = anew && seq.attempts.last().is_some_and(wrong);
@@ -172,12 +156,17 @@
             let hold = self.may_go_on(seq, state.is_some()) && self.may_hold(now, seq);
             return if hold { Schedule::NotYet } else { self.give_up(now, seq) };
         };
+        // Of a large fleet another look may find a ready one.
+        let ready = self.is_small() || self.ready(now, &self.fleet[pick.server]);
+        if !ready && self.may_hold(now, seq) {
+            return Schedule::NotYet;
+        }
         if first && self.overloaded(now, seq, &pick) {
             return self.give_up(now, seq);
         }
         if first {
-            self.admitted[usize::from(pick.step == Step::Whole)].add(now, 1.0);
-            self.admitted_tokens.add(now, seq.prompt_tokens);
+            self.stats.admitted[usize::from(pick.step == Step::Whole)].add(now, 1.0);
+            self.stats.admitted_tokens.add(now, seq.prompt_tokens);
         }
         seq.admitted = true;
         self.send(now, seq, &pick);
@@ -186,10 +175,8 @@
 
     /// What to do after the outcome of attempt `n`; `last` where it ended the sequence.
     pub fn settle(&mut self, now: Nanos, seq: &mut Sequence, n: usize, got: Outcome, last: bool) -> Settled {
-        let Some(attempt) = seq.attempts.get_mut(n) else { return Settled::Wait };
-        if matches!(attempt.status, Status::Closed(_)) {
-            return Settled::Wait;
-        }
+        let open = |a: &&mut Attempt| !matches!(a.status, Status::Closed(_));
+        let Some(attempt) = seq.attempts.get_mut(n).filter(open) else { return Settled::Wait };
         let began = attempt.status == Status::Streaming;
         attempt.status = Status::Closed(got);
         let attempt = attempt.clone();
@@ -215,31 +202,21 @@
         if let Some(server) = self.fleet.get_mut(attempt.server) {
             server.heard = now;
             let time = now.saturating_sub(attempt.sent) as f64;
-            self.times[attempt.step as usize].add(now, time);
+            self.stats.times[attempt.step as usize].add(now, time);
             if attempt.step != Step::Move {
                 server.times.add(now, time);
             }
-            for out in server.out.iter_mut().filter(|out| out.seq == seq.id) {
-                out.waiting = false;
-            }
+            server.out.iter_mut().filter(|out| out.seq == seq.id).for_each(|out| out.waiting = false);
         }
     }
 
-    /// The server with the least of a measure, of those that have one and may be sent this; ties go by lot.
-    fn least(&self, now: Nanos, seq: &Sequence, by: impl Fn(&Server) -> Option<f64>) -> Option<ServerId> {
-        let open = self.fleet.values().filter(|s| self.allowed(now, s) && self.in_scope(seq, s));
-        let least = open.filter_map(|s| Some((by(s)?, s)));
-        let least = least.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.lot.total_cmp(&y.lot)));
-        least.map(|(_, server)| server.listing.server)
-    }
-
     /// Books an attempt: its load, the text its reader will keep, and its place in a cold server's budget.
     fn send(&mut self, now: Nanos, seq: &mut Sequence, pick: &Pick) {
         let Pick { server: id, step, kept } = *pick;
         let server = &self.fleet[id];
         let (work, credit) = (self.read_work(now, server, seq, kept), self.credit(server, seq, 0.0));
-        let shows = self.shows(seq, step);
-        let heavy = seq.prompt_tokens / self.mean_prompt(now).max(1.0); // rule 4 counts by work
+        let shows = self.deployment.shows(seq.traffic, step);
+        let heavy = seq.prompt_tokens / self.stats.mean_prompt(now).max(1.0); // rule 4 counts by work
         let own = if step == Step::Read { seq.prompt_tokens - kept } else { self.stream_tokens(seq) };
         if matches!(step, Step::Read | Step::Whole) {
             self.keep(now, seq, id, kept);
--- a/src/scheduler/outlier.rs
+++ b/src/scheduler/outlier.rs
@@ -27,97 +27,83 @@
         server.listing.condition == Condition::Ready && now >= server.paused_until && !self.slow(now, server)
     }
 
-    /// What is not ready comes last, and behind it what has just refused or broken a connection. A full or
-    /// slow server still answers: guards against turning thrice to one that is gone, which looks least loaded
-    /// as its streams ended.
+    /// What is not ready comes last, and behind it what has just refused or broken a connection: one that is gone
+    /// looks least loaded, as its streams ended.
     pub(super) fn last(&self, now: Nanos, server: &Server, ready: bool) -> f64 {
-        match ready {
-            true => 0.0,
-            false if now >= server.paused_until => LAST,
-            false => 10.0 * LAST,
-        }
+        let refused = now < server.paused_until;
+        if ready { 0.0 } else { LAST * if refused { 10.0 } else { 1.0 } }
     }
 
-    /// Guards against a server that runs far slower than its fellows or has gone silent: by a high quantile
-    /// of its answer times, or by how long it has been quiet. Old verdicts fade, so it is tried again.
+    /// Far slower than its fellows by a high quantile of its times, or silent. Verdicts fade, so it is tried again.
     pub(super) fn slow(&self, now: Nanos, server: &Server) -> bool {
         let Some((usual, _)) = self.usual[server.role as usize] else { return false };
-        let own = server.times.quantile(now, HIGH).filter(|_| server.times.weight(now) >= EVIDENCE);
-        own.is_some_and(|own| own > SLOW * usual) || server.silence(now) as f64 > SLOW * usual
+        self.high_time(now, server).is_some_and(|own| own > SLOW * usual)
+            || server.silence(now) as f64 > SLOW * usual
     }
 
-    /// The high quantile of answer times that a role's servers have in the middle: the lower and higher of
-    /// two.
-    pub(super) fn middle_times(&self, now: Nanos, role: Role) -> Option<(f64, f64)> {
-        let fellows = self.fleet.values().filter(|s| s.role == role);
-        let times = fellows.filter(|s| s.times.weight(now) >= EVIDENCE);
-        let mut high: Vec<f64> = times.filter_map(|s| s.times.quantile(now, HIGH)).collect();
-        high.sort_by(f64::total_cmp);
-        Some((*high.get(high.len().saturating_sub(1) / 2)?, *high.get(high.len() / 2)?))
+    /// The high quantile of a server's answer times, where enough of them are known.
+    pub(super) fn high_time(&self, now: Nanos, server: &Server) -> Option<f64> {
+        server.times.quantile(now, HIGH).filter(|_| server.times.weight(now) >= EVIDENCE)
     }
 
     pub(super) fn known_time(&self, now: Nanos, step: Step, deviations: f64) -> Option<f64> {
-        let times = &self.times[step as usize];
+        let times = &self.stats.times[step as usize];
         times.quantile(now, deviations).filter(|_| times.weight(now) >= EVIDENCE)
     }
 
-    /// How many further attempts one here is likely to need, by the share of attempts of the same traffic
-    /// type and tenant that failed here of late, as far as that kind fails more than others. Guards against
-    /// servers that fail, leave unanswered or turn away one kind of traffic and serve the rest, which go on
-    /// to them. Each attempt of this sequence that has failed here counts for one more, whatever else is
-    /// known: against turning again and again to a server that takes everything and answers nothing, while no
-    /// time is known yet.
-    pub(super) fn doubt(&self, now: Nanos, server: &Server, seq: &Sequence) -> f64 {
-        let stream = (seq.traffic, seq.tenant);
-        let usual = self.failed.get(&stream).map_or(0.0, |all| all.read(now, 0.0));
-        let share =
-            self.failed_at.get(&(server.generation, stream)).map_or(usual, |here| here.read(now, usual));
-        let least = self.failed.values().map(|all| all.read(now, usual)).fold(usual, f64::min);
+    /// The share of attempts of this sequence's kind (traffic type and tenant) that failed of late, and how far that
+    /// is above the kind that fails least.
+    pub(super) fn failing(&self, now: Nanos, seq: &Sequence) -> (f64, f64) {
+        let kind = self.stats.failed.get(&(seq.traffic, seq.tenant));
+        let usual = kind.map_or(0.0, |all| all.read(now, 0.0));
+        let least = self.stats.failed.values().map(|all| all.read(now, usual)).fold(usual, f64::min);
+        (usual, (usual - least) / usual.max(1e-9))
+    }
+
+    /// How many further attempts one here is likely to need: by how many of its kind failed here of late, as far as
+    /// that kind fails more than others. Guards against servers that fail, ignore or turn away one kind of traffic.
+    /// Each attempt of this sequence that timed out here counts for one more: against turning again and again to a
+    /// server that takes everything and answers nothing.
+    pub(super) fn doubt(&self, now: Nanos, server: &Server, seq: &Sequence, failing: (f64, f64)) -> f64 {
         let lost =
             |a: &&Attempt| a.server == server.listing.server && a.status == Status::Closed(Outcome::TimedOut);
         let again = seq.attempts.iter().filter(lost).count() as f64;
-        again + (usual - least) / usual.max(1e-9) * share / (1.0 - share.min(0.9))
-    }
-
-    /// Whether a step shows that it goes well before all of it is done: an answer that comes whole does not.
-    pub(super) fn shows(&self, seq: &Sequence, step: Step) -> bool {
-        step == Step::Read || self.deployment.types[seq.traffic.0].delivery == Delivery::Streamed
+        let (usual, more) = failing;
+        if more <= 0.0 {
+            return again;
+        }
+        let here = self.stats.failed_at.get(&(server.generation, (seq.traffic, seq.tenant)));
+        let share = here.map_or(usual, |here| here.read(now, usual));
+        again + more * share / (1.0 - share.min(0.9))
     }
 
-    pub(super) fn learn(
-        &mut self,
-        now: Nanos,
-        seq: &Sequence,
-        attempt: &Attempt,
-        outcome: Outcome,
-        began: bool,
-    ) {
-        let shows = self.shows(seq, attempt.step);
+    pub(super) fn learn(&mut self, now: Nanos, seq: &Sequence, attempt: &Attempt, got: Outcome, began: bool) {
+        let shows = self.deployment.shows(seq.traffic, attempt.step);
         let Some(server) = self.fleet.get_mut(attempt.server) else { return };
         let rtt = now.saturating_sub(attempt.sent);
         server.out.retain(|out| out.seq != seq.id);
         use Outcome::*;
-        let timed = matches!(outcome, ReadDone { .. } | TimedOut) && !began && shows;
+        let timed = matches!(got, ReadDone { .. } | TimedOut) && !began && shows;
         let time = if timed { rtt as f64 } else { 0.0 };
         if time > 0.0 {
-            self.times[attempt.step as usize].add(now, time);
+            self.stats.times[attempt.step as usize].add(now, time);
         }
-        if !matches!(outcome, NoState | Cancelled | NeverSent) {
-            let bad = !began && !matches!(outcome, ReadDone { .. } | Generated);
+        if !matches!(got, NoState | Cancelled | NeverSent) {
+            let bad = !began && !matches!(got, ReadDone { .. } | Generated);
             let new = || FadingShare::new(TRUST);
             let stream = (seq.traffic, seq.tenant);
-            self.failed_at.entry_or_insert_with((server.generation, stream), new).add(now, bad);
-            self.failed.entry_or_insert_with(stream, new).add(now, bad);
+            self.stats.failed_at.entry_or_insert_with((server.generation, stream), new).add(now, bad);
+            self.stats.failed.entry_or_insert_with(stream, new).add(now, bad);
         }
-        match outcome {
+        match got {
             ReadDone { kept } => {
                 server.heard = now;
                 server.times.add(now, time);
-                self.read_time.add(now, time);
-                self.read_tokens.add(now, attempt.tokens);
+                self.stats.read_time.add(now, time);
+                self.stats.read_tokens.add(now, attempt.tokens);
                 if seq.prefix_tokens > 0.0 {
                     let missed = kept < seq.prefix_tokens / 2.0;
-                    self.missed.add(now, missed);
+                    self.stats.missed.add(now, missed);
                     self.new_homes = (self.new_homes * if missed { MISSED } else { FOUND }).clamp(1.0, 1e3);
                 }
                 if kept + 1.0 < attempt.credit / 2.0 {
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -6,74 +6,71 @@
 pub(super) const HOME: f64 = 0.25;
 /// A shared text is at home at so many times its part of all readers, as far as own sends tell.
 pub(super) const TEXT_HOMES: f64 = 8.0;
-/// While nothing tells it counts as one of so many, and is at home at this many readers: so many at first,
-/// then as reads find it, from one to so many times its part.
+/// While nothing tells it counts as one of so many, and is at home at this many readers: so many at first, then as
+/// reads find it, from one to so many times its part.
 pub(super) const FEW_TEXTS: f64 = 10.0;
 
 impl Brain {
-    /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads
-    /// counts part of the prompt again, since that part of its states has to be moved once more.
+    /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads counts part
+    /// of the prompt again, since that part of its states has to be moved once more.
     pub(super) fn select_prefill(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
         if seq.attempts.len() + 2 > self.most_attempts(seq) {
             return None;
         }
-        let homes = self.homes(now, seq);
+        let (homes, among) = self.homes(now, seq);
         let nearest = homes.values().copied().fold(f64::INFINITY, f64::min);
         let kept = |s: &Server| {
             let away = homes.get(&s.listing.server).copied().unwrap_or(LAST);
             // How surely a home has kept its text: as the reads of late have found them.
-            let hope = if away < LAST { 1.0 - self.missed.read(now, 0.5) } else { 0.0 };
+            let hope = if away < LAST { 1.0 - self.stats.missed.read(now, 0.5) } else { 0.0 };
             ((nearest / away).min(1.0), self.credit(s, seq, hope))
         };
+        let failing = self.failing(now, seq);
         let work = |s: &Server| {
-            let far = if self.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
+            let far =
+                if self.shares.cells.get(&s.listing.cell).is_some_and(|c| c.reads > 0.0) { 0.0 } else { 1.0 };
             let (home, kept) = kept(s);
             let last = self.last(now, s, self.ready(now, s));
             // A cold one that may be sent something comes first, or its part is left and warm ones jam.
             let cold = if now < s.cold_until { 1.0 } else { 0.0 };
-            let again = far - HOME * home - cold + 2.0 * self.doubt(now, s, seq);
+            let again = far - HOME * home - cold + 2.0 * self.doubt(now, s, seq, failing);
             self.read_work(now, s, seq, kept) + again * seq.prompt_tokens + last
         };
-        let server = self.least(now, seq, |s| (s.role == Role::Reader).then(|| work(s)))?;
+        let by = |s: &Server| (s.role == Role::Reader).then(|| work(s));
+        let server = self.search(now, seq, &among, &[Role::Reader], &by)?;
         Some(Pick { server, step: Step::Read, kept: kept(&self.fleet[server]).1 })
     }
 
-    /// How far each reader is from being this session's home, to which every gateway turns: a hash, by the
-    /// part of all reads it should get, own zone first as far as its readers go round. Guards against reading
-    /// texts anew when a gateway has restarted or a session comes through another one, and against skewed
-    /// cells.
-    pub(super) fn homes(&self, now: Nanos, seq: &Sequence) -> HashMap<ServerId, f64> {
+    /// How far readers are from being this session's home, to which every gateway turns, and the candidates: a hash,
+    /// by the part of all reads each should get. Guards against reading texts anew when a gateway has restarted or a
+    /// session comes through another one.
+    fn homes(&self, now: Nanos, seq: &Sequence) -> (HashMap<ServerId, f64>, Candidates) {
         let key = seq.session.map_or(seq.id.0, |session| session.0);
-        let mut zones: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        self.cells.values().for_each(|c| *zones.entry(c.zone).or_default() += c.reads);
-        let even = 1.0 / zones.len().max(1) as f64;
-        let own = zones.get(&self.deployment.zone).copied().unwrap_or(0.0);
-        let spare: f64 = zones.values().map(|part| (part - even).max(0.0)).sum();
-        let short = (even - own).max(0.0) / spare.max(1e-9);
-        // A text that many share is kept by some readers, by its part of all reads as far as own sends tell,
-        // rather than pushed out of all: by the fewer the more often it is not found there.
-        let readers = self.fleet.values().filter(|s| s.role == Role::Reader);
-        let new = (self.new_homes * FEW_TEXTS / readers.clone().count().max(1) as f64).min(TEXT_HOMES);
-        let spread = (new + TEXT_HOMES * self.text_sent(now, seq)) / (FEW_TEXTS + self.texts.read(now));
+        // A text that many share is kept by some readers, by its part of all reads as far as own sends tell, rather
+        // than pushed out of all: by the fewer the more often it is not found there.
+        let readers = self.fleet.index().prefill_servers().max(1) as f64;
+        let new = (self.new_homes * FEW_TEXTS / readers).min(TEXT_HOMES);
+        let spread = (new + TEXT_HOMES * self.text_sent(now, seq)) / (FEW_TEXTS + self.stats.texts.read(now));
         let away = |s: &Server| {
-            let cell = self.cells.get(&s.listing.cell)?;
-            let part = zones[&cell.zone].max(1e-9);
-            let here = cell.zone == self.deployment.zone;
-            let zone = if here { part.min(even) } else { (part - even).max(0.0) * short };
-            let part = zone * cell.reads / part * s.weight / cell.readers.max(1e-9);
-            let text = seq.prefix.map_or(0.0, |PrefixId(text)| race(mix(text), s, part));
-            Some((s.listing.server, race(key, s, part), text))
+            let cell = self.shares.cells.get(&s.listing.cell)?;
+            let zone = self.shares.zones.get(&cell.zone)?;
+            let part = zone.turn * cell.reads / zone.reads * s.weight / cell.readers.max(1e-9);
+            let text = seq.prefix.map_or(0.0, |PrefixId(text)| race(mix(text), s.listing.server.0, part));
+            Some((s.listing.server, race(key, s.listing.server.0, part), text))
         };
+        if !self.is_small() {
+            let mut slots = self.nominees(key, seq.prefix, spread * readers);
+            let away = |slot: &Slot| away(self.fleet.at(*slot)).map(|(server, away, _)| (server, away));
+            let homes = slots.iter().filter_map(away).collect();
+            self.draw(seq, Role::Reader, self.deployment.zone, &mut slots);
+            return (homes, Candidates::distinct(slots));
+        }
+        let readers = self.fleet.values().filter(|s| s.role == Role::Reader);
         let readers: Vec<_> = readers.filter_map(away).collect();
         // The first of them is one, however few there are.
         let spread = readers.iter().map(|(.., text)| *text).fold(f64::INFINITY, f64::min).max(spread);
         let astray = |text: f64| if text > spread { LAST } else { 0.0 };
-        readers.into_iter().map(|(server, away, text)| (server, away + astray(text))).collect()
+        let homes = readers.into_iter().map(|(server, away, text)| (server, away + astray(text)));
+        (homes.collect(), Candidates::All)
     }
 }
-
-/// How late a server comes in for a key: it comes first for its part of all keys, the same at every gateway.
-pub(super) fn race(key: u64, server: &Server, part: f64) -> f64 {
-    let lot = mix(key ^ mix(server.listing.server.0)) as f64 / u64::MAX as f64;
-    -lot.max(1e-18).ln() / part.max(1e-9)
-}
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -15,17 +15,16 @@
                 || now >= server.cold_sent.saturating_add(self.cold_pause(now, server)))
     }
 
-    /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool
-    /// carries of its admitted sequences stands for capacity, of a reader only of those that were read first;
-    /// all gateways keep the same part. There is no floor, and the first send waits for a part of the pause
-    /// drawn by lot: over hundreds of gateways both add up.
+    /// Rule 4: the time one send takes up of this gateway's part of a cold server. What a server of the pool carries
+    /// of its admitted sequences stands for capacity, of a reader only of those that were read first; all gateways
+    /// keep the same part. There is no floor, and the first send waits for a part of the pause drawn by lot: over
+    /// hundreds of gateways both add up.
     pub(super) fn cold_pause(&self, now: Nanos, server: &Server) -> Nanos {
-        let reads = |s: &Server| s.role == Role::Reader;
-        let pool = self.fleet.values().filter(|s| reads(s) == reads(server));
-        let there = pool.filter(|s| s.listing.condition != Condition::Gone);
-        let weight: f64 = there.map(|s| s.weight).sum();
-        let [read, whole] = [0, 1].map(|taken| self.admitted[taken].per_second(now, self.started));
-        let carried = if reads(server) { read } else { read + whole };
+        let prefills = server.role == Role::Reader;
+        let weight = self.fleet.index().pool_weight(prefills);
+        let [read, whole] =
+            [0, 1].map(|taken| self.stats.admitted[taken].per_second(now, self.stats.started));
+        let carried = if prefills { read } else { read + whole };
         let fair = carried * server.weight / weight.max(1e-9);
         let present = self.present(now, server);
         let most = COLD_SAFE * self.deployment.cold_multiple * self.deployment.cold_from;
