Hollow fleets in virtual time; servers that a text was sent to last are candidates

Cause: candidates have to be compared with looking at all, at size. Change: petrelshore-scale fleet plays gateways (conductor and decisions) before simple model servers; the last four servers that a session or a text was sent to are candidates.

--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use petrelshore_conductor::Chooser;
+use petrelshore_scale::fleet::{self, Scene, Setup};
 use petrelshore_scale::limits::{self, Refused};
 use petrelshore_scale::report::{Form, Printer};
 use petrelshore_scale::slopes::{self, Plan};
@@ -23,6 +24,8 @@
 enum Command {
     /// One gateway's cost for a whole request, for lists, and its memory, over growing fleets.
     Slopes(Slopes),
+    /// Hollow gateways sharing one process before simple model servers, in virtual time.
+    Fleet(FleetArguments),
 }
 
 #[derive(clap::Args)]
@@ -53,6 +56,39 @@
     policy: Policy,
 }
 
+#[derive(clap::Args)]
+struct FleetArguments {
+    #[arg(long, default_value_t = 990)]
+    gateways: u64,
+    /// Model servers, 26 in 100 of them for prefill.
+    #[arg(long, default_value_t = 4_200)]
+    servers: u64,
+    #[arg(long, default_value_t = 640)]
+    tenants: u64,
+    /// Requests a second over all gateways; in proportion to the servers where it is not given.
+    #[arg(long)]
+    rate: Option<u64>,
+    /// Seconds of virtual time.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How servers are found; both one after the other where it is not given.
+    #[arg(long, value_enum)]
+    policy: Option<Policy>,
+    /// What happens; all one after the other where it is not given.
+    #[arg(long, value_enum)]
+    scene: Option<SceneName>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum SceneName {
+    /// Nothing but traffic.
+    Ordinary,
+    /// The model servers of a zone are lost at once, and come back cold at once.
+    Zone,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Policy {
     /// Every server is looked at for every request.
@@ -70,6 +106,9 @@
     }
 }
 
+/// The size of the service: requests a second, and model servers.
+const FULL_RATE: f64 = 63_000.0;
+const FULL_SERVERS: f64 = 4_200.0;
 const MOST_TENANTS: u64 = 100_000;
 const MOST_REQUESTS: u64 = 100_000_000;
 const LONGEST_ROW_MS: u64 = 600_000;
@@ -102,10 +141,44 @@
     }
 }
 
+impl FleetArguments {
+    fn setups(&self) -> Result<Vec<Setup>, String> {
+        let no = |no: Refused| no.to_string();
+        limits::check(self.gateways, self.servers, limits::machine_memory()).map_err(no)?;
+        if self.tenants > 0 {
+            limits::in_range("--tenants", self.tenants, MOST_TENANTS).map_err(no)?;
+        }
+        let in_proportion = FULL_RATE * self.servers as f64 / FULL_SERVERS;
+        let rate = self.rate.map_or(in_proportion, |rate| rate as f64);
+        let mut setups = Vec::new();
+        for scene in self.scene.map_or(vec![SceneName::Ordinary, SceneName::Zone], |scene| vec![scene]) {
+            for policy in self.policy.map_or(vec![Policy::Scan, Policy::Candidates], |policy| vec![policy]) {
+                setups.push(Setup {
+                    gateways: self.gateways as usize,
+                    servers: self.servers,
+                    tenants: self.tenants as usize,
+                    rate,
+                    seconds: self.seconds,
+                    seed: self.seed,
+                    chooser: policy.chooser(),
+                    scene: match scene {
+                        SceneName::Ordinary => Scene::Ordinary,
+                        SceneName::Zone => Scene::ZoneLost,
+                    },
+                });
+            }
+        }
+        Ok(setups)
+    }
+}
+
 fn run(arguments: &Arguments) -> Result<(), String> {
     let mut printer = Printer::new(if arguments.json { Form::Json } else { Form::Table });
     match &arguments.command {
         Command::Slopes(slopes) => slopes::run(&slopes.plan()?, &mut printer).map_err(|no| no.to_string()),
+        Command::Fleet(arguments) => {
+            fleet::run(&arguments.setups()?, &mut printer).map_err(|no| no.to_string())
+        }
     }
 }
 
--- a/src/scheduler/affinity.rs
+++ b/src/scheduler/affinity.rs
@@ -8,6 +8,8 @@
 pub(super) const MISSED: f64 = 0.4;
 /// Half-life of how often a shared text was sent: about how long a reader keeps one that is not read again.
 pub(super) const TEXT_LIFE: Nanos = 10_000_000_000;
+/// Servers that are candidates for a text as it was sent there last.
+pub(super) const LAST_SENT: usize = 4;
 
 impl Brain {
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways' part. A
@@ -34,14 +36,13 @@
         let Some(server) = self.fleet.get_mut(server) else { return };
         let read_before = server.read_in_all;
         server.read_in_all += seq.prompt_tokens - kept;
-        let generation = server.generation;
         if let Some(id) = seq.session {
             let kept = Kept { tokens: seq.prompt_tokens, read_before };
-            self.stats.kept.insert((generation, Text::Session(id)), kept);
+            self.stats.text_sent(server, Text::Session(id), kept, LAST_SENT);
         }
         if let Some(id) = seq.prefix {
             let kept = Kept { tokens: seq.prefix_tokens, read_before };
-            self.stats.kept.insert((generation, Text::Prefix(id)), kept);
+            self.stats.text_sent(server, Text::Prefix(id), kept, LAST_SENT);
             self.stats.prefixes.entry_or_insert_with(id, || DecayingSum::new(TEXT_LIFE)).add(now, 1.0);
             self.stats.texts.add(now, 1.0);
         }
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -62,6 +62,9 @@
             let mut slots = self.nominees(key, seq.prefix, spread * readers);
             let away = |slot: &Slot| away(self.fleet.at(*slot)).map(|(server, away, _)| (server, away));
             let homes = slots.iter().filter_map(away).collect();
+            let texts = [seq.session.map(Text::Session), seq.prefix.map(Text::Prefix)];
+            let sent_to = texts.into_iter().flatten().flat_map(|text| self.stats.sent_to(text));
+            slots.extend(sent_to.filter_map(|server| self.fleet.slot(server)));
             self.draw(seq, Role::Reader, self.deployment.zone, &mut slots);
             return (homes, Candidates::distinct(slots));
         }
--- a/src/statistics.rs
+++ b/src/statistics.rs
@@ -2,6 +2,7 @@
 
 use crate::bounded::BoundedTable;
 use crate::decay::{DecayingSum, FadingShare, FadingTimes};
+use crate::fleet::Server;
 use crate::interface::*;
 
 /// What a server may treat apart: a traffic type of a tenant.
@@ -51,6 +52,8 @@
     pub read_tokens: DecayingSum,
     /// Texts that servers were sent, by the server's start.
     pub kept: BoundedTable<(u64, Text), Kept>,
+    /// Where a text was sent last, the newest first.
+    pub last_sent: BoundedTable<Text, Vec<ServerId>>,
     /// How often a shared text was sent, and all of them together.
     pub prefixes: BoundedTable<PrefixId, DecayingSum>,
     pub texts: DecayingSum,
@@ -72,12 +75,27 @@
             read_time: DecayingSum::new(memory.prefills),
             read_tokens: DecayingSum::new(memory.prefills),
             kept: BoundedTable::new(memory.most_kept),
+            last_sent: BoundedTable::new(memory.most_kept),
             prefixes: BoundedTable::new(memory.most_prefixes),
             texts: DecayingSum::new(memory.texts),
             missed: FadingShare::new(memory.texts),
         }
     }
 
+    /// A server, known by its start, was sent a text; the last `most` servers are remembered for each text.
+    pub fn text_sent(&mut self, server: &Server, text: Text, kept: Kept, most: usize) {
+        self.kept.insert((server.generation, text), kept);
+        let last = self.last_sent.entry_or_insert_with(text, Vec::new);
+        last.retain(|known| *known != server.listing.server);
+        last.insert(0, server.listing.server);
+        last.truncate(most);
+    }
+
+    /// The servers that a text was sent to last.
+    pub fn sent_to(&self, text: Text) -> impl Iterator<Item = ServerId> {
+        self.last_sent.get(&text).into_iter().flatten().copied()
+    }
+
     /// Prompt tokens of the mean sequence that was admitted.
     pub fn mean_prompt(&self, now: Nanos) -> f64 {
         let admitted: f64 = self.admitted.iter().map(|sum| sum.read(now)).sum();
