--- a/src/interface.rs
+++ b/src/interface.rs
@@ -53,6 +53,11 @@
         role == Role::Mixed || (role == Role::Writer && self.writers_read)
     }
 
+    /// Whether servers of any kind do.
+    pub fn some_take_whole(&self) -> bool {
+        self.kinds.iter().any(|kind| self.takes_whole(kind.role))
+    }
+
     /// Whether a step shows that it goes well before all of it is done: an answer that comes whole does not.
     pub fn shows(&self, traffic: TypeId, step: Step) -> bool {
         step == Step::Read || self.types[traffic.0].delivery == Delivery::Streamed
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -66,7 +66,7 @@
 
     /// Whether the attempts left can end in an answer, by the roles there are.
     pub(super) fn may_go_on(&self, seq: &Sequence, state: bool) -> bool {
-        let whole = self.deployment.kinds.iter().any(|kind| self.deployment.takes_whole(kind.role));
+        let whole = self.deployment.some_take_whole();
         seq.attempts.len() + if state || whole { 1 } else { 2 } <= self.most_attempts(seq)
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -151,8 +151,8 @@
             Some((reader, _)) => self.select_decode(now, seq, reader),
             None => self.select_mixed(now, seq).or_else(|| self.select_prefill(now, seq)),
         };
-        let whole = || self.select_whole(now, seq).filter(|_| state.is_none());
-        let Some(pick) = picked.or_else(whole) else {
+        let whole = state.is_none() && self.deployment.some_take_whole();
+        let Some(pick) = picked.or_else(|| whole.then(|| self.select_whole(now, seq))?) else {
             let hold = self.may_go_on(seq, state.is_some()) && self.may_hold(now, seq);
             return if hold { Schedule::NotYet } else { self.give_up(now, seq) };
         };
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Case {
     gateways: usize,
+    /// As many decode servers are there.
+    readers: u64,
     /// So many of the readers are replaced by new ones.
     new: u64,
     restarts: bool,
@@ -33,7 +35,7 @@
 fn sends(case: Case, seed: u64) -> (Nanos, BTreeMap<ServerId, Vec<Nanos>>) {
     let settings = Deployment { gateways: case.gateways, ..deployment() };
     let pair = |n: u64| Listing { zone: ZoneId(0), ..entry(n, (n % 2) as usize, (n / 2) as i64) };
-    let fleet: Vec<Listing> = (0..2 * READERS).map(pair).collect();
+    let fleet: Vec<Listing> = (0..2 * case.readers).map(pair).collect();
     let mut chance = Rand64::new(seed.into());
     let start = |now, list: &[Listing], seed: u64| {
         let mut brain = Brain::new(now, settings.clone(), seed);
@@ -82,7 +84,7 @@
 /// The most that any cold server was sent in a window, over its budget for that window.
 fn worst_window(case: Case, seed: u64) -> f64 {
     let (told, sends) = sends(case, seed);
-    let each = case.rates[1].max(case.rates[0]) / READERS as f64;
+    let each = case.rates[1].max(case.rates[0]) / case.readers as f64;
     let mut worst: f64 = 0.0;
     for sends in sends.values() {
         for (n, first) in sends.iter().enumerate() {
@@ -106,7 +108,7 @@
             (READERS / 2, false, [24.0, 24.0]),
             (2, true, [600.0, 600.0]),
         ] {
-            let case = Case { gateways, new, restarts, rates };
+            let case = Case { gateways, readers: READERS, new, restarts, rates };
             for seed in 0..3 {
                 let worst = worst_window(case, seed * 10_000);
                 assert!(worst <= 1.0, "{case:?} {seed}: {worst} of the budget");
@@ -115,6 +117,22 @@
     }
 }
 
+/// Past the size that is looked at whole.
+#[test]
+fn a_large_fleet_keeps_cold_servers_within_their_budget_and_uses_their_part() {
+    for gateways in [3, 30, 300, 990] {
+        for (new, restarts) in [(100, false), (50, true), (5, true)] {
+            let case = Case { gateways, readers: 100, new, restarts, rates: [600.0, 800.0] };
+            let worst = worst_window(case, 7);
+            assert!(worst <= 1.0, "{case:?}: {worst} of the budget");
+            // Of what their present capacity would carry of an even share.
+            let even = new as f64 * 8.0 * (0.3 + 0.7 * 0.4) * 8.0;
+            let all: usize = sends(case, 7).1.values().map(Vec::len).sum();
+            assert!(all as f64 >= 0.3 * even || new == case.readers, "{case:?}: {all} of {even}");
+        }
+    }
+}
+
 #[test]
 fn all_gateways_together_keep_cold_servers_within_their_budget_and_do_not_starve_them() {
     let cases = [3, 20, 30, 300].into_iter().flat_map(|gateways| {
@@ -126,12 +144,12 @@
             (12, false, [100.0, 200.0]),
             (12, false, [24.0, 24.0]),
         ]
-        .map(|(new, restarts, rates)| Case { gateways, new, restarts, rates })
+        .map(|(new, restarts, rates)| Case { gateways, readers: READERS, new, restarts, rates })
     });
     for case in cases {
         for seed in 0..3 {
             let (told, sends) = sends(case, seed * 1000);
-            let each = case.rates[1].max(case.rates[0]) / READERS as f64;
+            let each = case.rates[1].max(case.rates[0]) / case.readers as f64;
             for (server, sends) in &sends {
                 for (n, first) in sends.iter().enumerate() {
                     let present = 0.3 + 0.7 * ((first - told) as f64 / COLD_FOR as f64).min(1.0);
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,232 @@
+//! Decisions over fleets past the size that is looked at whole.
+
+mod common;
+
+use common::*;
+use petrelshore::Brain;
+use petrelshore::interface::*;
+
+/// Cells of 20 servers, 5 of which are prefill servers, over seven zones.
+fn large(servers: u64) -> Vec<Listing> {
+    let listing = |n: u64| Listing {
+        zone: ZoneId((n / 20 % 7) as usize),
+        ..entry(n, usize::from(!n.is_multiple_of(4)), (n / 20) as i64)
+    };
+    (0..servers).map(listing).collect()
+}
+
+fn at_size(tenants: usize) -> Deployment {
+    Deployment { gateways: 990, tenants: vec![Tenant { per_second: 100.0 }; tenants], ..deployment() }
+}
+
+/// A request of ever other sessions, texts and tenants.
+fn request(id: u64, traffic: usize, tenants: usize, now: Nanos) -> Sequence {
+    Sequence {
+        session: Some(SessionId(id * 31)),
+        prefix: Some(PrefixId(1 + id % 500)),
+        prefix_tokens: 300.0,
+        tenant: (tenants > 0).then(|| TenantId(id as usize % tenants)),
+        ..sequence(id, traffic, now)
+    }
+}
+
+/// A request whole, as far as it is sent; the most servers that one decision looked at.
+fn serve(brain: &mut Brain, now: Nanos, seq: &mut Sequence) -> u64 {
+    let mut most = 0;
+    while !seq.ended {
+        let before = brain.examined();
+        let answer = brain.schedule(now, seq);
+        most = most.max(brain.examined() - before);
+        let Schedule::Send(_) = answer else { break };
+        let n = seq.attempts.len() - 1;
+        let read = seq.attempts[n].step == Step::Read;
+        if !read {
+            brain.began(now + 5 * MS, seq, n);
+        }
+        let outcome = if read { Outcome::ReadDone { kept: 0.0 } } else { Outcome::Generated };
+        brain.settle(now + 5 * MS, seq, n, outcome, !read);
+    }
+    most
+}
+
+/// The most servers that one decision looks at, after the first one.
+fn most_examined(servers: u64, tenants: usize, cold: impl Fn(u64) -> bool) -> u64 {
+    let mut list = large(servers);
+    list.iter_mut().filter(|l| cold(l.server.0)).for_each(|l| l.since = START);
+    let slow_start = Deployment { cold_for: 1_000_000 * MS, ..at_size(tenants) };
+    let mut brain = brain(slow_start, &list);
+    serve(&mut brain, START, &mut request(0, 0, tenants, START));
+    let served = (1..600).map(|id| {
+        let now = START + id * 15 * MS;
+        serve(&mut brain, now, &mut request(id, 0, tenants, now))
+    });
+    served.max().unwrap()
+}
+
+#[test]
+fn a_decision_looks_at_a_bounded_number_of_servers_however_many_there_are() {
+    // Where nobody is ready: candidates and four steps of 64 of prefill servers, the same of those that take requests
+    // whole, and 256 of a survey.
+    const BOUND: u64 = 2 * (30 + 4 * 64) + 256;
+    for tenants in [0, 640] {
+        for (name, cold) in [("none", 0), ("one in seven", 7), ("all", 1)] {
+            let most = [1_000, 4_200, 10_000]
+                .map(|servers| most_examined(servers, tenants, |n| cold > 0 && n.is_multiple_of(cold)));
+            assert!(most.iter().all(|most| *most <= BOUND), "{name} cold, {tenants} tenants: {most:?}");
+            assert!(most[2] <= most[0] + most[0] / 2, "{name} cold, {tenants} tenants: {most:?}");
+        }
+    }
+    let scan = |servers| {
+        let mut brain = Brain::scanning(START, at_size(0), 7);
+        brain.listed(START, ListScope::Whole, &large(servers));
+        serve(&mut brain, START, &mut request(0, 0, 0, START));
+        serve(&mut brain, START + 300 * MS, &mut request(1, 0, 0, START + 300 * MS))
+    };
+    assert!(scan(4_200) > 4_200, "the count tells a look at all of them");
+}
+
+#[test]
+fn a_ready_server_that_exists_is_found_although_none_that_is_named_is_ready() {
+    let list = large(4_000);
+    let mut brain = brain(at_size(0), &list);
+    let last = ServerId(2_468);
+    let (mut now, mut waits, mut found) = (START, Vec::new(), 0);
+    for id in 0..8_000 {
+        now += MS / 5;
+        let mut seq = request(id, 0, 0, now);
+        match brain.schedule(now, &mut seq) {
+            Schedule::Send(server) if server == last => {
+                found += 1;
+                close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            }
+            // All prefill servers but one refuse their connections, and are passed over for two seconds.
+            Schedule::Send(_) => {
+                close(&mut brain, now, &mut seq, Outcome::ConnectFailed);
+            }
+            Schedule::NotYet => waits.push(seq),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(found > 0, "the one that is ready is found while the others are tried");
+    // What was held is asked about every 20 ms, and comes to the one within its time to be held.
+    let mut held = waits.pop().expect("some are held while nobody is known to be ready");
+    held.arrived = now;
+    held.abandon_at = now + 4_000 * MS;
+    let mut looks = 0;
+    loop {
+        looks += 1;
+        match brain.schedule(now, &mut held) {
+            Schedule::Send(server) => break assert_eq!(server, last),
+            answer => assert!(answer == Schedule::NotYet && looks < 25, "{answer:?} after {looks} looks"),
+        }
+        now += 20 * MS;
+    }
+}
+
+#[test]
+fn where_a_group_knows_the_repeats_a_further_attempt_stays_in_it() {
+    let mut brain = brain(at_size(0), &large(4_200));
+    let (mut further, mut now) = (0, START);
+    for id in 0..300 {
+        for traffic in [3, 4] {
+            now += 20 * MS;
+            let mut seq = request(id * 2 + traffic as u64 % 2, traffic, 0, now);
+            read(&mut brain, now, &mut seq, 5 * MS);
+            let first = sent(brain.schedule(now + 5 * MS, &mut seq));
+            close(&mut brain, now + 10 * MS, &mut seq, Outcome::Error);
+            if let Schedule::Send(next) = brain.schedule(now + 10 * MS, &mut seq) {
+                further += 1;
+                let [a, b] = [first, next].map(|server| server.0 / 20);
+                assert!(if traffic == 3 { a == b } else { a % 7 == b % 7 }, "{first:?}, then {next:?}");
+            }
+        }
+    }
+    assert!(further > 300, "{further} further attempts");
+}
+
+#[test]
+fn the_prefill_goes_to_the_zone_and_the_decode_stays_in_the_cell() {
+    let mut brain = brain(at_size(0), &large(4_200));
+    let (mut beside, mut here) = (0, 0);
+    for id in 0..500 {
+        let now = START + id * 15 * MS;
+        let mut seq = request(id, 0, 0, now);
+        let reader = read(&mut brain, now, &mut seq, 5 * MS);
+        here += u64::from((reader.0 / 20).is_multiple_of(7));
+        let writer = sent(brain.schedule(now + 5 * MS, &mut seq));
+        assert!(reader.0.is_multiple_of(4) && !writer.0.is_multiple_of(4));
+        beside += u64::from(reader.0 / 20 == writer.0 / 20);
+        close(&mut brain, now + 9 * MS, &mut seq, Outcome::Generated);
+    }
+    assert!(
+        here > 350 && beside > 450,
+        "of 500: {here} in the own zone, {beside} decoded beside their prefill"
+    );
+}
+
+#[test]
+fn sessions_come_to_the_same_few_servers_from_every_gateway() {
+    let mut brains: Vec<Brain> = (0..40)
+        .map(|n| {
+            let mut brain = Brain::new(START, at_size(0), n);
+            brain.listed(START, ListScope::Remembered, &large(4_200));
+            brain
+        })
+        .collect();
+    let mut same = 0;
+    for session in 0..50 {
+        let mut readers = std::collections::BTreeMap::<ServerId, u64>::new();
+        for brain in &mut brains {
+            let mut seq = Sequence { prefix: None, ..request(session, 0, 0, START) };
+            *readers.entry(sent(brain.schedule(START, &mut seq))).or_default() += 1;
+        }
+        same += readers.values().max().unwrap();
+    }
+    assert!(same > 50 * 40 / 2, "{same} of 2,000 requests at the server where most of their session's were");
+}
+
+#[test]
+fn the_same_seed_decides_the_same_and_gateways_do_not_all_draw_alike() {
+    let course = |seed: u64| -> Vec<ServerId> {
+        let mut brain = Brain::new(START, at_size(64), seed);
+        brain.listed(START, ListScope::Whole, &large(2_000));
+        let served = (0..400).flat_map(|id| {
+            let now = START + id * 10 * MS;
+            let mut seq = request(id, 0, 64, now);
+            serve(&mut brain, now, &mut seq);
+            seq.attempts.into_iter().map(|attempt| attempt.server).collect::<Vec<_>>()
+        });
+        served.collect()
+    };
+    assert!(course(1) == course(1) && course(1) != course(2));
+}
+
+#[test]
+fn odd_lists_of_any_size_end_in_answers() {
+    let twice: Vec<Listing> = large(5_000).into_iter().chain(large(5_000)).collect();
+    let no_decode = large(4_200).into_iter().filter(|l| l.zone.0 != 0 || l.kind.0 == 0).collect();
+    let no_prefill = large(4_200).into_iter().filter(|l| l.zone.0 != 0 || l.kind.0 == 1).collect();
+    let one_cell = large(4_200).into_iter().map(|l| Listing { cell: CellId(0), ..l }).collect();
+    let mixed = large(1_000).into_iter().map(|l| Listing { kind: KindId(2), ..l }).collect();
+    let served = |list: Vec<Listing>| -> usize {
+        let mut brain = brain(at_size(640), &list);
+        let answers = (0..200).map(|id| {
+            let now = START + id * 15 * MS;
+            let mut seq = request(id, 0, 640, now);
+            serve(&mut brain, now, &mut seq);
+            // What is held is given up in its time.
+            if !seq.ended {
+                seq.abandon_at = now;
+                assert!(!matches!(brain.schedule(now, &mut seq), Schedule::Send(_) | Schedule::NotYet));
+            }
+            usize::from(seq.attempts.last().is_some_and(|a| a.status == Status::Closed(Outcome::Generated)))
+        });
+        answers.sum()
+    };
+    for list in [large(10_000), twice, no_decode, no_prefill, one_cell, mixed] {
+        let servers = list.len();
+        assert_eq!(served(list), 200, "{servers} entries");
+    }
+    let readers_only = large(4_200).into_iter().filter(|l| l.kind.0 == 0).collect();
+    assert_eq!(served(readers_only) + served(vec![]), 0);
+}
