--- a/drill/src/decode.rs
+++ b/drill/src/decode.rs
@@ -42,7 +42,7 @@
         self.text(name).ok_or_else(|| format!("{}: field {name} is missing", self.kind))
     }
 
-    fn wrong(&self, name: &str, value: &str) -> Malformed {
+    pub fn wrong(&self, name: &str, value: &str) -> Malformed {
         format!("{}: field {name} is malformed or out of range: '{value}'", self.kind)
     }
 
--- a/platform-terms/src/lib.rs
+++ b/platform-terms/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod request;
 pub mod settings;
+pub mod tenants;
 
 /// What was wrong, in one line that names the field.
 pub type Malformed = String;
--- a/platform-terms/src/request.rs
+++ b/platform-terms/src/request.rs
@@ -29,10 +29,7 @@
     let kind = need("Req-Kind")?;
     let traffic = names.types.iter().position(|name| name == kind).ok_or_else(|| wrong("Req-Kind", kind))?;
     let owner = field("Req-Owner").filter(|_| !names.tenants.is_empty());
-    let tenant = owner.map(|owner| {
-        let place = names.tenants.iter().position(|name| name == owner);
-        place.map(TenantId).ok_or_else(|| wrong("Req-Owner", owner))
-    });
+    let tenant = owner.map(|owner| names.tenants.place(owner).ok_or_else(|| wrong("Req-Owner", owner)));
     let key = field("Req-Key").map(|key| hex(key).ok_or_else(|| wrong("Req-Key", key))).transpose()?;
     let told = need("Req-Deadline-Ms")?;
     let digits = told.bytes().all(|byte| byte.is_ascii_digit());
--- a/platform-terms/src/settings.rs
+++ b/platform-terms/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::Malformed;
 use crate::load::{Field, fields};
+use crate::tenants::Tenants;
 use petrelshore::interface::*;
 use serde_json::Value;
 
@@ -9,7 +10,7 @@
 #[derive(Debug)]
 pub struct Names {
     pub types: Vec<String>,
-    pub tenants: Vec<String>,
+    pub tenants: Tenants,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub report: Vec<Field>,
@@ -100,7 +101,7 @@
     let orgs = s.get("orgs").map_or(Ok(&[][..]), |_| list(s, "orgs"))?;
     let names = Names {
         types: each("lanes", list(s, "lanes")?, name)?,
-        tenants: each("orgs", orgs, name)?,
+        tenants: each("orgs", orgs, name)?.into_iter().collect(),
         zones: words(s, "dcs")?,
         kinds: words(s, "kinds")?,
         report: fields(s)?,
--- a/scale/src/limits.rs
+++ b/scale/src/limits.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Bytes that one hollow gateway takes for each server of its list, and for itself.
-const GATEWAY_SERVER_BYTES: u64 = 640;
+const GATEWAY_SERVER_BYTES: u64 = 900;
 const GATEWAY_BYTES: u64 = 128 << 10;
 /// Bytes that a simulated model server takes, and one for each request that is open at the size.
 const SERVER_BYTES: u64 = 4 << 10;
--- a/scale/src/slopes.rs
+++ b/scale/src/slopes.rs
@@ -9,6 +9,7 @@
 use petrelshore_conductor::Chooser;
 use petrelshore_platform_terms::list::listed;
 use petrelshore_platform_terms::settings::Names;
+use petrelshore_platform_terms::tenants::Tenants;
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::hint::black_box;
@@ -201,7 +202,7 @@
     let zones = (0..inventory::ZONES).map(|zone| format!("zone-{zone}")).collect();
     Names {
         types: vec!["chat".into()],
-        tenants: vec![],
+        tenants: Tenants::default(),
         zones,
         kinds: vec!["prefill".into(), "decode".into()],
         report: vec![],
--- /dev/null
+++ b/scale/tests/command.rs
@@ -0,0 +1,165 @@
+//! The command as a user starts it: small measurements, and what it refuses to start.
+
+use serde_json::Value;
+use std::process::{Command, Output};
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_petrelshore-scale")).args(arguments).output().expect("the command runs")
+}
+
+/// Rows of a run that has to end well.
+fn rows(arguments: &[&str]) -> Vec<Value> {
+    let output = run(arguments);
+    assert!(output.status.success(), "{arguments:?}: {}", String::from_utf8_lossy(&output.stderr));
+    let text = String::from_utf8(output.stdout).expect("text");
+    text.lines().map(|line| serde_json::from_str(line).expect("a JSON object a line")).collect()
+}
+
+fn number(row: &Value, field: &str) -> f64 {
+    row[field].as_f64().unwrap_or_else(|| panic!("{field} is missing in {row}"))
+}
+
+const SLOPES: [&str; 16] = [
+    "--json",
+    "slopes",
+    "--servers",
+    "200,1000,4200",
+    "--tenants",
+    "0,640",
+    "--slow-start",
+    "0,0.143,1",
+    "--silent",
+    "0,0.1",
+    "--requests",
+    "150",
+    "--row-ms",
+    "60000",
+    "--memory-at",
+    "1000",
+];
+
+#[test]
+fn a_request_costs_looks_at_a_bounded_number_of_servers_in_every_row() {
+    let rows = rows(&SLOPES);
+    let costs: Vec<&Value> = rows.iter().filter(|row| row["us_per_request"].is_number()).collect();
+    assert_eq!(costs.len(), 3 * 2 * 3 * 2 + 1);
+    for row in &costs {
+        for field in ["servers", "tenants", "slow_start", "examined"] {
+            number(row, field);
+        }
+        assert!(number(row, "us_per_request") > 0.0);
+    }
+    // Counts, not times: the same in every run. Looks at a request that is held are not among them.
+    let most = costs.iter().map(|row| number(row, "examined_most")).fold(0.0, f64::max);
+    assert!(most <= 2_500.0, "{most} servers for one request with all its attempts");
+    let warm = |servers: f64| {
+        let of = |row: &&&Value| {
+            number(row, "servers") == servers
+                && number(row, "slow_start") == 0.0
+                && number(row, "silent") == 0.0
+                && number(row, "tenants") == 640.0
+        };
+        number(costs.iter().find(of).expect("a row"), "examined")
+    };
+    assert!(warm(4_200.0) <= 1.5 * warm(1_000.0), "{} and {}", warm(4_200.0), warm(1_000.0));
+    let fits = rows.iter().filter(|row| row["fit_of"].is_string()).count();
+    let lists = rows.iter().filter(|row| row["whole_bytes"].is_number()).count();
+    let memory = rows.iter().filter(|row| row["memory_after"].is_number()).count();
+    assert_eq!((fits, lists, memory), (12, 3, 1));
+}
+
+#[test]
+fn looking_at_all_servers_shows_in_the_counts() {
+    let rows = rows(&[
+        "--json",
+        "slopes",
+        "--servers",
+        "1000",
+        "--tenants",
+        "0",
+        "--slow-start",
+        "0",
+        "--requests",
+        "50",
+        "--row-ms",
+        "60000",
+        "--memory-at",
+        "100",
+        "--policy",
+        "scan",
+    ]);
+    assert!(number(&rows[0], "examined") > 1_000.0, "{}", rows[0]);
+}
+
+#[test]
+fn a_small_fleet_keeps_the_rules_and_its_slow_start_budget_under_both_policies() {
+    let plays =
+        rows(&["--json", "fleet", "--gateways", "35", "--servers", "280", "--seconds", "8", "--seed", "3"]);
+    assert_eq!(plays.len(), 4, "two scenes under two policies");
+    for play in &plays {
+        for field in ["served", "cached", "max_over_mean", "slow_start_worst", "rules_broken", "peak_mib"] {
+            number(play, field);
+        }
+        assert_eq!(number(play, "rules_broken"), 0.0, "{play}");
+        assert!(number(play, "slow_start_worst") <= 1.0, "{play}");
+        assert!(number(play, "served") >= 0.95, "{play}");
+        assert!(number(play, "requests") > 5_000.0, "{play}");
+    }
+    let [scan, candidates] = [&plays[0], &plays[1]];
+    assert_eq!((scan["policy"].as_str(), candidates["policy"].as_str()), (Some("scan"), Some("candidates")));
+    assert!(number(candidates, "examined_per_request") < number(scan, "examined_per_request") / 2.0);
+    assert!(plays[3]["slow_start_worst"].as_f64() > Some(0.0), "the zone came back cold and was used");
+}
+
+#[test]
+fn plays_of_one_seed_are_the_same_and_those_of_another_are_not() {
+    let play = |seed: &str| -> Value {
+        let mut rows = rows(&[
+            "--json",
+            "fleet",
+            "--gateways",
+            "21",
+            "--servers",
+            "140",
+            "--seconds",
+            "6",
+            "--seed",
+            seed,
+            "--policy",
+            "candidates",
+            "--scene",
+            "zone",
+        ]);
+        let mut play = rows.pop().expect("a play");
+        // Times and memory are the machine's.
+        for field in ["us_per_request", "real_seconds", "peak_mib"] {
+            play[field].take();
+        }
+        play
+    };
+    assert!(play("1") == play("1") && play("1") != play("2"));
+}
+
+#[test]
+fn what_can_not_be_measured_is_refused_in_one_line_before_anything_starts() {
+    let refused: [(&[&str], &str); 8] = [
+        (&["fleet", "--gateways", "0"], "--gateways must be from 1"),
+        (&["fleet", "--servers", "0"], "--servers must be from 1"),
+        (&["fleet", "--seconds", "0"], "--seconds must be from 1"),
+        (&["fleet", "--rate", "0"], "--rate must be from 1"),
+        (&["fleet", "--gateways", "9000", "--servers", "90000"], "half of this machine's memory"),
+        (&["slopes", "--servers", "0"], "--servers must be from 1"),
+        (&["slopes", "--requests", "0"], "--requests must be from 1"),
+        (&["slopes", "--slow-start", "1.5"], "from 0 to 1"),
+    ];
+    for (arguments, why) in refused {
+        let output = run(arguments);
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && output.stdout.is_empty(), "{arguments:?}: {said}");
+        assert!(said.lines().count() == 1 && said.contains(why), "{arguments:?}: {said}");
+    }
+    for unknown in [&["fleet", "--gateway", "3"][..], &["slope"], &[], &["fleet", "--policy", "best"]] {
+        let output = run(unknown);
+        assert!(!output.status.success() && output.stdout.is_empty(), "{unknown:?}");
+    }
+}
--- a/src/scheduler/affinity.rs
+++ b/src/scheduler/affinity.rs
@@ -9,7 +9,7 @@
 /// Half-life of how often a shared text was sent: about how long a reader keeps one that is not read again.
 pub(super) const TEXT_LIFE: Nanos = 10_000_000_000;
 /// Servers that are candidates for a text as it was sent there last.
-pub(super) const LAST_SENT: usize = 4;
+pub(super) const LAST_SENT: usize = 8;
 
 impl Brain {
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways' part. A
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -62,7 +62,7 @@
     /// The prefill servers of a session's homes, or of its text's: so many of the zones that this gateway turns to.
     pub(super) fn nominees(&self, session: u64, prefix: Option<PrefixId>, homes: f64) -> Vec<Slot> {
         let zones = &self.shares.zones;
-        let homes = ((homes / zones.len().max(1) as f64).round() as u64).max(1);
+        let homes = ((homes / zones.len().max(1) as f64).ceil() as u64).max(1);
         let key = |n: u64| match prefix {
             None => mix(session ^ mix(n)),
             Some(PrefixId(text)) if homes <= HOMES => mix(mix(text) ^ mix(n)),
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -43,7 +43,7 @@
     most_prefixes: 8_192,
 };
 /// Points of a prefill server on its zone's hash ring.
-const RING_POINTS: usize = 8;
+const RING_POINTS: usize = 16;
 
 pub struct Brain {
     deployment: Deployment,
