Rings that still hold outlive a change of the list; bounds from which memory is flat

Cause: the first request after a change of one entry took 2.3 ms at 4,200 servers: all hash rings were sorted anew. Memory of the tables rose once more between 200,000 and 400,000 requests (38 to 63 MiB), as a hash table of 65,536 grew.

--- a/scale/src/slopes.rs
+++ b/scale/src/slopes.rs
@@ -76,6 +76,8 @@
     change_bytes: usize,
     change_decode_us: f64,
     change_apply_us: f64,
+    /// The first request after a change: it makes the index anew.
+    next_request_us: f64,
     /// Bytes a second of a watch that brings each change of a day.
     watch_bytes_per_second: f64,
 }
@@ -228,10 +230,10 @@
     times[times.len() / 2].as_secs_f64()
 }
 
-/// Seconds in the median to decode a list and to apply it.
-fn decoded_and_applied(text: &str, warm: &mut Warm) -> (f64, f64) {
+/// Seconds in the median to decode a list, to apply it, and for the first request after it.
+fn decoded_and_applied(text: &str, warm: &mut Warm) -> (f64, f64, f64) {
     let names = names();
-    let (mut decode, mut apply) = (Vec::new(), Vec::new());
+    let (mut decode, mut apply, mut next) = (Vec::new(), Vec::new(), Vec::new());
     for _ in 0..LIST_ROUNDS {
         let from = Instant::now();
         let list = serde_json::from_str(text).ok().and_then(|json| listed(&json, &names).ok());
@@ -241,8 +243,11 @@
         let (now, from) = (warm.now(), Instant::now());
         warm.conductor().listed(now, list.scope, &listings);
         apply.push(from.elapsed());
+        let from = Instant::now();
+        warm.request();
+        next.push(from.elapsed());
     }
-    (median(decode), median(apply))
+    (median(decode), median(apply), median(next))
 }
 
 fn list_row(servers: u64) -> ListRow {
@@ -252,8 +257,8 @@
     let change = json!({ "index": 2, "snapshot": false, "endpoints": [entry(&list[0])] }).to_string();
     let mut warm = Warm::new(load(servers, 0, 0.0, 0.0, MEAN_RATE), &list, Chooser::Decisions);
     (0..WARM_UP).for_each(|_| warm.request());
-    let (whole_decode, whole_apply) = decoded_and_applied(&whole, &mut warm);
-    let (change_decode, change_apply) = decoded_and_applied(&change, &mut warm);
+    let (whole_decode, whole_apply, _) = decoded_and_applied(&whole, &mut warm);
+    let (change_decode, change_apply, next_request) = decoded_and_applied(&change, &mut warm);
     ListRow {
         list_of: servers,
         whole_bytes: whole.len(),
@@ -262,6 +267,7 @@
         change_bytes: change.len(),
         change_decode_us: change_decode * 1e6,
         change_apply_us: change_apply * 1e6,
+        next_request_us: next_request * 1e6,
         watch_bytes_per_second: change.len() as f64 * CHANGES_A_DAY / SECONDS_A_DAY,
     }
 }
--- a/src/fleet/index.rs
+++ b/src/fleet/index.rs
@@ -48,11 +48,13 @@
 }
 
 impl Index {
-    /// Indexes servers, in the order of their names.
+    /// Indexes servers, in the order of their names. Of an index before, the rings that still hold are taken over: they
+    /// cost the most.
     pub fn new<'a>(
         now: Nanos,
         servers: impl Iterator<Item = (Slot, &'a Server)>,
         ring_points: usize,
+        mut before: Index,
     ) -> Self {
         let mut index = Index { holds_until: Nanos::MAX, ..Index::default() };
         let mut prefill: BTreeMap<ZoneId, Vec<(u64, Slot)>> = BTreeMap::new();
@@ -71,8 +73,10 @@
             }
             index.add(now, slot, server);
         }
-        let ring = |servers: Vec<(u64, Slot)>| Ring::new(servers.into_iter(), ring_points);
-        index.rings = prefill.into_iter().map(|(zone, servers)| (zone, ring(servers))).collect();
+        for (zone, servers) in prefill {
+            let held = before.rings.remove(&zone).filter(|ring| ring.is_of(&servers));
+            index.rings.insert(zone, held.unwrap_or_else(|| Ring::new(servers, ring_points)));
+        }
         index
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -124,7 +124,8 @@
     pub fn refresh(&mut self, now: Nanos) {
         if self.stale || now >= self.index.holds_until {
             let servers = self.by_id.values().map(|slot| (*slot, &self.slots[*slot]));
-            self.index = Index::new(now, servers, self.ring_points);
+            let before = std::mem::take(&mut self.index);
+            self.index = Index::new(now, servers, self.ring_points, before);
             self.stale = false;
         }
     }
--- a/src/fleet/ring.rs
+++ b/src/fleet/ring.rs
@@ -6,24 +6,23 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ring {
     points: Vec<(u64, Slot)>,
-    servers: usize,
+    servers: Vec<(u64, Slot)>,
 }
 
 impl Ring {
     /// A ring of servers by their names, with so many points each.
-    pub fn new(servers: impl Iterator<Item = (u64, Slot)>, points: usize) -> Self {
-        let (mut ring, mut count) = (Vec::new(), 0);
-        for (name, slot) in servers {
-            count += 1;
-            ring.extend((0..points as u64).map(|point| (mix(name ^ mix(point + 1)), slot)));
+    pub fn new(servers: Vec<(u64, Slot)>, points: usize) -> Self {
+        let mut ring = Vec::with_capacity(servers.len() * points);
+        for (name, slot) in &servers {
+            ring.extend((0..points as u64).map(|point| (mix(name ^ mix(point + 1)), *slot)));
         }
         ring.sort_unstable();
-        Ring { points: ring, servers: count }
+        Ring { points: ring, servers }
     }
 
-    /// How many servers are on it.
-    pub fn servers(&self) -> usize {
-        self.servers
+    /// Whether it is a ring of just these servers.
+    pub fn is_of(&self, servers: &[(u64, Slot)]) -> bool {
+        self.servers == servers
     }
 
     /// The server of a key.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -39,7 +39,7 @@
     texts: TEXT_LIFE,
     most_streams: 64,
     most_failures: 8_192,
-    most_kept: 65_536,
+    most_kept: 16_384,
     most_prefixes: 8_192,
 };
 /// Points of a prefill server on its zone's hash ring.
