The longest idle connection is found without going over all servers

Cause: where all connections are taken, each new one looked at every server that had an idle one, of 4,200. Change: ages are kept in their order; past ones are passed over, and dropped once they are the most.

--- a/conductor/src/connections.rs
+++ b/conductor/src/connections.rs
@@ -5,7 +5,7 @@
 
 use petrelshore::decay::DecayingSum;
 use petrelshore::interface::Nanos;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Idle connections kept for one server, and for all together.
 const IDLE_MOST: usize = 64;
@@ -45,9 +45,19 @@
     trusted_for: Nanos,
 }
 
+impl<C> Idle<C> {
+    /// Since when the connection waits that has waited for longest.
+    fn longest(&self) -> Option<Nanos> {
+        self.kept.first().map(|kept| kept.since)
+    }
+}
+
 /// Open connections that wait for their next exchange. `S` tells servers apart, `C` is the connection.
 pub struct Connections<S, C> {
     servers: BTreeMap<S, Idle<C>>,
+    /// Since when a connection of which server is idle, the longest first; those that are idle no more stay until it
+    /// is gone through.
+    by_age: VecDeque<(Nanos, S)>,
     all: usize,
     idle_for: Nanos,
     idle_all: usize,
@@ -70,6 +80,7 @@
         let idle_for = idle_for.saturating_sub(CLOSED_AHEAD).clamp(IDLE_LEAST, IDLE_FOR);
         Connections {
             servers: BTreeMap::new(),
+            by_age: VecDeque::new(),
             all: 0,
             idle_for,
             idle_all,
@@ -81,12 +92,15 @@
 
     /// Drops the connection that was idle for longest; false where none is.
     pub fn shed(&mut self) -> bool {
-        let oldest = |idle: &Idle<C>| idle.kept.first().map(|kept| kept.since);
-        let longest = self.servers.values_mut().filter(|idle| !idle.kept.is_empty());
-        let Some(idle) = longest.min_by_key(|idle| oldest(idle)) else { return false };
-        idle.kept.remove(0);
-        self.all -= 1;
-        true
+        while let Some((since, server)) = self.by_age.pop_front() {
+            let idle = self.servers.get_mut(&server).filter(|idle| idle.longest() == Some(since));
+            if let Some(idle) = idle {
+                idle.kept.remove(0);
+                self.all -= 1;
+                return true;
+            }
+        }
+        false
     }
 
     /// The connection to use for an exchange, with how long it was idle. Ones that are closed (`open` tells) or were
@@ -133,6 +147,19 @@
         if idle.kept.len() < IDLE_MOST && self.all < self.idle_all {
             idle.kept.push(Kept { connection, since: now, rested });
             self.all += 1;
+            self.by_age.push_back((now, server));
+            self.drop_past_ages();
+        }
+    }
+
+    /// Goes through the ages once as many of them are past as there are connections.
+    fn drop_past_ages(&mut self) {
+        if self.by_age.len() > 2 * self.all + IDLE_MOST {
+            let servers = &self.servers;
+            let idle = |(since, server): &(Nanos, S)| {
+                servers.get(server).is_some_and(|idle| idle.kept.iter().any(|kept| kept.since == *since))
+            };
+            self.by_age.retain(idle);
         }
     }
 
--- a/conductor/tests/guards.rs
+++ b/conductor/tests/guards.rs
@@ -63,6 +63,42 @@
     assert_eq!(idle.take(0, 8, |_| true), None);
 }
 
+#[test]
+fn the_connection_that_was_idle_for_longest_makes_room_whatever_came_and_went_before() {
+    let mut chance = oorandom::Rand64::new(5);
+    let mut idle: Connections<u64, u64> = Connections::bounded(3_600_000 * MS, 300);
+    let mut kept: Vec<(u64, u64)> = Vec::new();
+    for now in 1..20_000u64 {
+        let server = chance.rand_range(0..4_200);
+        match chance.rand_range(0..5) {
+            0..=2 if kept.len() < 300 => {
+                idle.keep(now * MS, server, now);
+                kept.push((server, now));
+            }
+            3 => {
+                let known = chance.rand_range(0..kept.len().max(1) as u64) as usize;
+                if let Some((server, _)) = kept.get(known).copied() {
+                    // Of one server the one used last that has rested goes first.
+                    let rested = |&(s, since): &(u64, u64)| s == server && now >= since + 100;
+                    let newest = kept.iter().rposition(rested);
+                    let taken = idle.take(now * MS, server, |_| true).map(|(connection, _)| connection);
+                    assert_eq!(taken, newest.map(|at| kept.remove(at).1));
+                }
+            }
+            4 => {
+                let before = idle.idle();
+                assert_eq!(idle.shed(), !kept.is_empty());
+                if !kept.is_empty() {
+                    kept.remove(0);
+                }
+                assert_eq!(idle.idle(), before.saturating_sub(1));
+            }
+            _ => {}
+        }
+        assert_eq!(idle.idle(), kept.len());
+    }
+}
+
 #[test]
 fn where_used_connections_break_too_often_each_request_gets_a_new_one_until_that_is_long_ago() {
     let mut idle: Connections<u8, u32> = Connections::default();
