--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -159,7 +159,7 @@
 const NEVER: Nanos = Nanos::MAX;
 
 pub struct Conductor {
-    brain: Policy,
+    scheduler: Policy,
     types: Vec<TrafficType>,
     held: HashMap<SeqId, Held>,
     timers: BTreeSet<(Nanos, SeqId)>,
@@ -176,7 +176,7 @@
     pub fn with(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         Conductor {
             types: deployment.types.clone(),
-            brain: Policy::new(now, deployment, seed, chooser),
+            scheduler: Policy::new(now, deployment, seed, chooser),
             held: HashMap::new(),
             timers: BTreeSet::new(),
             draining: false,
@@ -244,7 +244,7 @@
         if held.seq.attempts.get(attempt).is_none_or(|a| a.status != Status::Out) {
             return;
         }
-        self.brain.began(now, &mut held.seq, attempt);
+        self.scheduler.began(now, &mut held.seq, attempt);
         held.heard = now;
         held.tokens += 1;
         self.rearm(now, id);
@@ -335,16 +335,16 @@
 
     /// The list of servers, or what has changed in it.
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
-        self.brain.listed(now, scope, entries);
+        self.scheduler.listed(now, scope, entries);
     }
 
     /// The list could not be had.
     pub fn list_refused(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        out.push(Action::AskList { at: now + self.brain.refused() });
+        out.push(Action::AskList { at: now + self.scheduler.refused() });
     }
 
     pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
-        self.brain.reported(now, server, report);
+        self.scheduler.reported(now, server, report);
     }
 
     /// When [`Conductor::due`] next has something to do.
@@ -416,7 +416,7 @@
 
     /// Servers that decisions have looked at so far.
     pub fn examined(&self) -> u64 {
-        self.brain.examined()
+        self.scheduler.examined()
     }
 
     pub fn counts(&self) -> Counts {
@@ -426,12 +426,12 @@
     /// Carries out what the decisions answer for a sequence without an attempt out.
     fn schedule(&mut self, now: Nanos, id: SeqId, why: Reason, out: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id) else { return };
-        let send_by = self.brain.send_by(&held.seq).unwrap_or(NEVER);
-        let release = match self.brain.schedule(now, &mut held.seq) {
+        let send_by = self.scheduler.send_by(&held.seq).unwrap_or(NEVER);
+        let release = match self.scheduler.schedule(now, &mut held.seq) {
             Schedule::Send(server) => {
-                let limit = self.brain.wait(now, &held.seq).max(1);
+                let limit = self.scheduler.wait(now, &held.seq).max(1);
                 self.counts.attempts += 1;
-                let held_for = self.brain.held_until(&held.seq).map(|until| until.saturating_sub(now));
+                let held_for = self.scheduler.held_until(&held.seq).map(|until| until.saturating_sub(now));
                 let connect_within = pace::connect_within(limit, held_for);
                 if let Some(dispatch) = dispatch(&self.types, held, server, limit, connect_within) {
                     out.push(Action::Send(Dispatch { send_by, ..dispatch }));
@@ -442,7 +442,7 @@
             Schedule::NotYet => {
                 let closed = |a: &Attempt| matches!(a.status, Status::Closed(_));
                 if !held.seq.ended && held.seq.attempts.iter().all(closed) {
-                    let at = now + self.brain.wait(now, &held.seq).max(1);
+                    let at = now + self.scheduler.wait(now, &held.seq).max(1);
                     out.push(Action::AskAt { id, at });
                     self.arm(id, at);
                 }
@@ -487,7 +487,7 @@
     ) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let answered = held.seq.ended;
-        match self.brain.settle(now, &mut held.seq, attempt, outcome, last) {
+        match self.scheduler.settle(now, &mut held.seq, attempt, outcome, last) {
             Settled::Schedule => self.schedule(now, id, Reason::Failed, out),
             Settled::Wait => {}
             Settled::Ended { release } => {
@@ -548,7 +548,7 @@
         let Attempt { server, step, status, .. } = held.seq.attempts[attempt];
         out.push(Action::Cancel { id, attempt, server, step });
         let last = status == Status::Streaming && held.relay != Relay::Whole;
-        match self.brain.settle(now, &mut held.seq, attempt, Outcome::Cancelled, last) {
+        match self.scheduler.settle(now, &mut held.seq, attempt, Outcome::Cancelled, last) {
             Settled::Ended { .. } => {
                 self.counts.aborted += 1;
                 out.push(Action::Over { id, outcome: Outcome::Cancelled, reason: Some(reason) });
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! No I/O and no clock: a shell reports events with the time, and carries out the [`Action`]s it gets back. The
 //! bench's adapter and the gateway are two such shells. Where to send and what follows an outcome is asked of
-//! `petrelshore::Brain`; what only a serving gateway meets is decided beside it: what an ending proves
+//! `petrelshore::Scheduler`; what only a serving gateway meets is decided beside it: what an ending proves
 //! ([`proof`]), who may come in ([`doors`]) and how much may be held at once ([`limits`]), how long a running stream
 //! may be silent or stalled ([`pace`]) and whether one that broke goes on ([`continuation`]), what a request is to the
 //! decisions ([`intake`]), which connection it rides on ([`connections`]), which states are still to be let go
--- a/conductor/src/policy.rs
+++ b/conductor/src/policy.rs
@@ -5,7 +5,7 @@
 
 use oorandom::Rand64;
 use petrelshore::interface::*;
-use petrelshore::{Brain, held_since};
+use petrelshore::{Scheduler, held_since};
 use std::collections::BTreeMap;
 
 /// Which policy a conductor asks.
@@ -19,15 +19,15 @@
 }
 
 pub enum Policy {
-    Decisions(Box<Brain>),
+    Decisions(Box<Scheduler>),
     Baseline(Box<Baseline>),
 }
 
 impl Policy {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         match chooser {
-            Chooser::Decisions => Policy::Decisions(Box::new(Brain::new(now, deployment, seed))),
-            Chooser::Scan => Policy::Decisions(Box::new(Brain::scanning(now, deployment, seed))),
+            Chooser::Decisions => Policy::Decisions(Box::new(Scheduler::new(now, deployment, seed))),
+            Chooser::Scan => Policy::Decisions(Box::new(Scheduler::scanning(now, deployment, seed))),
             Chooser::Baseline => Policy::Baseline(Box::new(Baseline::new(deployment, seed))),
         }
     }
@@ -35,62 +35,62 @@
     /// Servers looked at so far; none for the baseline.
     pub fn examined(&self) -> u64 {
         match self {
-            Policy::Decisions(brain) => brain.examined(),
+            Policy::Decisions(scheduler) => scheduler.examined(),
             Policy::Baseline(_) => 0,
         }
     }
 
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         match self {
-            Policy::Decisions(brain) => brain.listed(now, scope, entries),
+            Policy::Decisions(scheduler) => scheduler.listed(now, scope, entries),
             Policy::Baseline(baseline) => baseline.listed(scope, entries),
         }
     }
 
     pub fn refused(&mut self) -> Nanos {
         match self {
-            Policy::Decisions(brain) => brain.refused(),
+            Policy::Decisions(scheduler) => scheduler.refused(),
             Policy::Baseline(baseline) => baseline.deployment.ask_within / 2,
         }
     }
 
     pub fn reported(&mut self, now: Nanos, server: ServerId, report: Report) {
-        if let Policy::Decisions(brain) = self {
-            brain.reported(now, server, report);
+        if let Policy::Decisions(scheduler) = self {
+            scheduler.reported(now, server, report);
         }
     }
 
     pub fn schedule(&mut self, now: Nanos, seq: &mut Sequence) -> Schedule {
         match self {
-            Policy::Decisions(brain) => brain.schedule(now, seq),
+            Policy::Decisions(scheduler) => scheduler.schedule(now, seq),
             Policy::Baseline(baseline) => baseline.schedule(now, seq),
         }
     }
 
     pub fn settle(&mut self, now: Nanos, seq: &mut Sequence, n: usize, got: Outcome, last: bool) -> Settled {
         match self {
-            Policy::Decisions(brain) => brain.settle(now, seq, n, got, last),
+            Policy::Decisions(scheduler) => scheduler.settle(now, seq, n, got, last),
             Policy::Baseline(_) => Baseline::settle(now, seq, n, got, last),
         }
     }
 
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
         match self {
-            Policy::Decisions(brain) => brain.wait(now, seq),
+            Policy::Decisions(scheduler) => scheduler.wait(now, seq),
             Policy::Baseline(baseline) => baseline.wait(now, seq),
         }
     }
 
     pub fn held_until(&self, seq: &Sequence) -> Option<Nanos> {
         match self {
-            Policy::Decisions(brain) => brain.held_until(seq),
+            Policy::Decisions(scheduler) => scheduler.held_until(seq),
             Policy::Baseline(baseline) => baseline.held_until(seq),
         }
     }
 
     pub fn send_by(&self, seq: &Sequence) -> Option<Nanos> {
         match self {
-            Policy::Decisions(brain) => brain.send_by(seq),
+            Policy::Decisions(scheduler) => scheduler.send_by(seq),
             // It takes nothing that may not be repeated at any time.
             Policy::Baseline(_) => None,
         }
@@ -98,7 +98,7 @@
 
     pub fn began(&mut self, now: Nanos, seq: &mut Sequence, n: usize) {
         match self {
-            Policy::Decisions(brain) => brain.began(now, seq, n),
+            Policy::Decisions(scheduler) => scheduler.began(now, seq, n),
             Policy::Baseline(_) => {
                 if let Some(attempt) = seq.attempts.get_mut(n) {
                     (attempt.status, seq.state, seq.held_since) = (Status::Streaming, None, None);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,5 @@
 //! petrelshore decides where a language-model sequence is read and where its answer is written.
-//! `Brain` in `scheduler` decides; `interface` holds the plain types it is told and answers with, `fleet` the servers
+//! `Scheduler` in `scheduler` decides; `interface` holds the plain types it is told and answers with, `fleet` the servers
 //! that it knows.
 
 pub mod bounded;
@@ -11,4 +11,4 @@
 pub mod statistics;
 
 pub use proof::held_since;
-pub use scheduler::Brain;
+pub use scheduler::Scheduler;
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -11,7 +11,7 @@
 /// Own rate of a tenant past its share of the quota before it counts as over.
 pub(super) const OVER_SHARE: f64 = 1.2;
 
-impl Brain {
+impl Scheduler {
     /// Overload is met before the read: the less a sequence is worth, the earlier it is turned away. Also holds
     /// against lost servers and slow links; hurts when a short jam clears faster than it seems.
     pub(super) fn overloaded(&self, now: Nanos, seq: &Sequence, pick: &Pick) -> bool {
--- a/src/scheduler/affinity.rs
+++ b/src/scheduler/affinity.rs
@@ -11,7 +11,7 @@
 /// Servers that are candidates for a text as it was sent there last.
 pub(super) const LAST_SENT: usize = 8;
 
-impl Brain {
+impl Scheduler {
     /// What the reader should have kept: texts age out as it reads its memory full, with the other gateways' part. A
     /// shared text may have come to it through other gateways, with that probability.
     pub(super) fn credit(&self, server: &Server, seq: &Sequence, elsewhere: f64) -> f64 {
--- a/src/scheduler/attempts.rs
+++ b/src/scheduler/attempts.rs
@@ -11,7 +11,7 @@
 /// Pause before asking again for a sequence that nothing could take.
 pub(super) const RECHECK: Nanos = 20_000_000;
 
-impl Brain {
+impl Scheduler {
     /// How long the attempt that is out may take; without one, how long until `schedule` is worth asking. Where
     /// nothing is known it is half the time left: a gateway that starts into a jam must not add to it.
     pub fn wait(&self, now: Nanos, seq: &Sequence) -> Nanos {
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -19,7 +19,7 @@
 /// What servers are ranked by, the least first.
 pub(super) type Rank<'a> = dyn Fn(&Server) -> Option<f64> + 'a;
 
-impl Brain {
+impl Scheduler {
     pub(super) fn is_small(&self) -> bool {
         self.fleet.len() <= self.bound
     }
--- a/src/scheduler/cell_shares.rs
+++ b/src/scheduler/cell_shares.rs
@@ -12,7 +12,7 @@
 const PART_LEAST: usize = 16;
 const PART_MOST: usize = 256;
 
-impl Brain {
+impl Scheduler {
     /// Reckons, now and then, what each cell's sound servers can take; over a large fleet a part at each request.
     pub(super) fn survey(&mut self, now: Nanos) {
         if self.survey.is_none() && self.surveyed.is_some_and(|at| now < at + SURVEY) {
--- a/src/scheduler/decode.rs
+++ b/src/scheduler/decode.rs
@@ -9,7 +9,7 @@
 /// Part at which writers of another zone count for states that are handed on.
 pub(super) const ZONE_AWAY: f64 = 0.25;
 
-impl Brain {
+impl Scheduler {
     /// The least loaded writer of the reader's cell; without one, elsewhere, own zone first. Two exceptions. A state
     /// leaves a cell that is much fuller than another of the hall. And a cell that reads more than its writers can
     /// take hands on the rest, by lot to where less is read, while their loads are not known.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,6 +1,6 @@
 //! Where a request's prompt is read, where its answer is written, and what follows each outcome.
 //!
-//! A gateway keeps one `Brain` and holds its sequences itself. It asks `schedule` (where to send a sequence, or not
+//! A gateway keeps one `Scheduler` and holds its sequences itself. It asks `schedule` (where to send a sequence, or not
 //! yet, or never), `settle` (what to do after an outcome) and `wait` (how long to wait: for the attempt just sent,
 //! else before asking again). Other facts are told. What is remembered is in `statistics`, servers are in `fleet`.
 
@@ -45,7 +45,7 @@
 /// Points of a prefill server on its zone's hash ring.
 const RING_POINTS: usize = 16;
 
-pub struct Brain {
+pub struct Scheduler {
     deployment: Deployment,
     chance: Rand64,
     fleet: Fleet,
@@ -70,10 +70,10 @@
     kept: f64,
 }
 
-impl Brain {
+impl Scheduler {
     pub fn new(now: Nanos, deployment: Deployment, seed: u64) -> Self {
         let stats = Statistics::new(now, deployment.tenants.len(), MEMORY);
-        Brain {
+        Scheduler {
             chance: Rand64::new(seed.into()),
             fleet: Fleet::new(deployment.kinds.clone(), deployment.weights, RING_POINTS),
             sampler: RefCell::new(Sampler::new(seed)),
@@ -91,7 +91,7 @@
 
     /// The same decisions over all servers, however many there are: to compare with.
     pub fn scanning(now: Nanos, deployment: Deployment, seed: u64) -> Self {
-        Brain { bound: usize::MAX, ..Self::new(now, deployment, seed) }
+        Scheduler { bound: usize::MAX, ..Self::new(now, deployment, seed) }
     }
 
     /// Servers looked at so far.
--- a/src/scheduler/outlier.rs
+++ b/src/scheduler/outlier.rs
@@ -17,7 +17,7 @@
 /// More than any measure of work or load: what is not ready comes last.
 pub(super) const LAST: f64 = 1e9;
 
-impl Brain {
+impl Scheduler {
     /// Allowed, and nothing speaks against it.
     pub(super) fn ready(&self, now: Nanos, server: &Server) -> bool {
         self.allowed(now, server) && self.sound(now, server)
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -10,7 +10,7 @@
 /// reads find it, from one to so many times its part.
 pub(super) const FEW_TEXTS: f64 = 10.0;
 
-impl Brain {
+impl Scheduler {
     /// The reader with least prompt work. One whose cell's writers can't take its even part of all reads counts part
     /// of the prompt again, since that part of its states has to be moved once more.
     pub(super) fn select_prefill(&self, now: Nanos, seq: &Sequence) -> Option<Pick> {
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -7,7 +7,7 @@
 /// Part of the rule's figure for a cold server that is used at the most, for chance and unequal gateways.
 pub(super) const COLD_SAFE: f64 = 0.8;
 
-impl Brain {
+impl Scheduler {
     /// Listed as ready, and within this gateway's part of what a cold server may be sent.
     pub(super) fn allowed(&self, now: Nanos, server: &Server) -> bool {
         server.listing.condition == Condition::Ready
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 
 fn rejected(answer: Schedule) -> Option<Nanos> {
@@ -23,15 +23,15 @@
     for (delivery, lets_go) in [(Delivery::Whole, true), (Delivery::Streamed, false)] {
         let mut settings = deployment();
         settings.types[0].delivery = delivery;
-        let (mut brain, mut seq) = (brain(settings, &fleet()), sequence(1, 0, START));
-        sent(brain.schedule(START, &mut seq));
-        close(&mut brain, START + 500 * MS, &mut seq, Outcome::TimedOut);
-        read(&mut brain, START + 500 * MS, &mut seq, 50 * MS);
-        sent(brain.schedule(START + 550 * MS, &mut seq));
+        let (mut scheduler, mut seq) = (scheduler(settings, &fleet()), sequence(1, 0, START));
+        sent(scheduler.schedule(START, &mut seq));
+        close(&mut scheduler, START + 500 * MS, &mut seq, Outcome::TimedOut);
+        read(&mut scheduler, START + 500 * MS, &mut seq, 50 * MS);
+        sent(scheduler.schedule(START + 550 * MS, &mut seq));
         if delivery == Delivery::Streamed {
-            brain.began(START + 600 * MS, &mut seq, 2);
+            scheduler.began(START + 600 * MS, &mut seq, 2);
         }
-        let end = close(&mut brain, START + 700 * MS, &mut seq, Outcome::Generated);
+        let end = close(&mut scheduler, START + 700 * MS, &mut seq, Outcome::Generated);
         assert_eq!(end, Settled::Ended { release: lets_go }, "{delivery:?}");
     }
 }
@@ -40,22 +40,22 @@
 fn an_answer_that_comes_whole_has_its_clients_time_and_its_server_is_not_taken_for_silent() {
     let mut settings = deployment();
     settings.types[0].delivery = Delivery::Whole;
-    let mut brain = brain(settings, &all_mixed());
+    let mut scheduler = scheduler(settings, &all_mixed());
     for id in 0..12 {
         let mut known = sequence(id, 2, START);
-        sent(brain.schedule(START, &mut known));
-        brain.began(START + 20 * MS, &mut known, 0);
-        close(&mut brain, START + 30 * MS, &mut known, Outcome::Generated);
+        sent(scheduler.schedule(START, &mut known));
+        scheduler.began(START + 20 * MS, &mut known, 0);
+        close(&mut scheduler, START + 30 * MS, &mut known, Outcome::Generated);
     }
     let (now, mut seq) = (START + 40 * MS, sequence(20, 0, START + 40 * MS));
-    let server = sent(brain.schedule(now, &mut seq));
-    assert_eq!(brain.wait(now, &seq), seq.abandon_at - now);
+    let server = sent(scheduler.schedule(now, &mut seq));
+    assert_eq!(scheduler.wait(now, &seq), seq.abandon_at - now);
     // A second later nothing has shown; its server still takes its part, one stream behind the others.
     let mut next: Vec<ServerId> = Vec::new();
     for id in 30..34 {
         let mut seq = sequence(id, 2, now + 1000 * MS);
-        next.push(sent(brain.schedule(now + 1000 * MS, &mut seq)));
-        brain.began(now + 1001 * MS, &mut seq, 0);
+        next.push(sent(scheduler.schedule(now + 1000 * MS, &mut seq)));
+        scheduler.began(now + 1001 * MS, &mut seq, 0);
     }
     assert!(next.contains(&server), "{next:?} without {server:?}");
 }
@@ -64,11 +64,11 @@
 fn a_look_that_comes_a_tick_late_still_comes_before_the_clients_time_is_up() {
     for tick in [4 * MS, 15 * MS, 60 * MS, 200 * MS] {
         for budget in (20..400).step_by(7) {
-            let mut brain = brain(Deployment { tick, ..deployment() }, &[]);
+            let mut scheduler = scheduler(Deployment { tick, ..deployment() }, &[]);
             let (mut now, mut seq) = (START, sequence(1, 0, START));
             seq.abandon_at = START + budget * MS;
-            while brain.schedule(now, &mut seq) == Schedule::NotYet {
-                now += brain.wait(now, &seq) + tick - 1;
+            while scheduler.schedule(now, &mut seq) == Schedule::NotYet {
+                now += scheduler.wait(now, &seq) + tick - 1;
             }
             assert!(now < seq.abandon_at, "{tick} {budget}");
         }
@@ -77,11 +77,11 @@
 
 #[test]
 fn a_sequence_is_not_held_till_its_clients_short_time_is_nearly_up() {
-    let (mut brain, mut now) = (brain(deployment(), &[]), START);
+    let (mut scheduler, mut now) = (scheduler(deployment(), &[]), START);
     let mut seq = sequence(1, 0, START);
     seq.abandon_at = START + 400 * MS;
-    while brain.schedule(now, &mut seq) == Schedule::NotYet {
-        now += brain.wait(now, &seq);
+    while scheduler.schedule(now, &mut seq) == Schedule::NotYet {
+        now += scheduler.wait(now, &seq);
     }
     assert!(now <= START + 220 * MS, "half of its time, not of its SLO");
 }
@@ -91,41 +91,41 @@
     // A read alone can't end in an answer, and no kind here does both.
     let two = vec![deployment().kinds[0].clone(), deployment().kinds[1].clone()];
     let one = Deployment { max_attempts: 1, kinds: two.clone(), ..deployment() };
-    rejected(brain(one.clone(), &fleet()).schedule(START, &mut sequence(1, 0, START)));
+    rejected(scheduler(one.clone(), &fleet()).schedule(START, &mut sequence(1, 0, START)));
     let whole = Deployment { writers_read: true, ..one };
     let mut seq = sequence(1, 0, START);
-    let writer = sent(brain(whole, &fleet()).schedule(START, &mut seq));
+    let writer = sent(scheduler(whole, &fleet()).schedule(START, &mut seq));
     assert!(!writer.0.is_multiple_of(3) && seq.attempts[0].step == Step::Whole);
     // The state is gone, and one attempt is left.
     let three = Deployment { max_attempts: 3, kinds: two, ..deployment() };
-    let (mut brain, mut seq) = (brain(three, &fleet()), sequence(1, 0, START));
-    read(&mut brain, START, &mut seq, 10 * MS);
-    sent(brain.schedule(START + 10 * MS, &mut seq));
-    close(&mut brain, START + 20 * MS, &mut seq, Outcome::NoState);
-    rejected(brain.schedule(START + 20 * MS, &mut seq));
+    let (mut scheduler, mut seq) = (scheduler(three, &fleet()), sequence(1, 0, START));
+    read(&mut scheduler, START, &mut seq, 10 * MS);
+    sent(scheduler.schedule(START + 10 * MS, &mut seq));
+    close(&mut scheduler, START + 20 * MS, &mut seq, Outcome::NoState);
+    rejected(scheduler.schedule(START + 20 * MS, &mut seq));
 }
 
 #[test]
 fn a_tokened_sequence_ends_with_its_window_and_sends_no_client_past_it() {
     for (traffic, first, second) in [(2, 1900, 2000), (3, 1999, 2000)] {
-        let (mut brain, mut seq) = (brain(deployment(), &fleet()), sequence(1, traffic, START));
+        let (mut scheduler, mut seq) = (scheduler(deployment(), &fleet()), sequence(1, traffic, START));
         seq.abandon_at = START + 9000 * MS;
-        read(&mut brain, START, &mut seq, 0);
-        let writer = sent(brain.schedule(START, &mut seq));
-        close(&mut brain, START + 100 * MS, &mut seq, Outcome::Error);
+        read(&mut scheduler, START, &mut seq, 0);
+        let writer = sent(scheduler.schedule(START, &mut seq));
+        close(&mut scheduler, START + 100 * MS, &mut seq, Outcome::Error);
         let mut late = seq.clone();
         // Nothing that may take it is left, until its window is over.
         let gone: Vec<Listing> =
             fleet().iter().map(|l| Listing { condition: Condition::Draining, ..l.clone() }).collect();
-        brain.listed(START + 100 * MS, ListScope::Changes, &gone);
-        let in_time = brain.schedule(START + first * MS, &mut seq);
+        scheduler.listed(START + 100 * MS, ListScope::Changes, &gone);
+        let in_time = scheduler.schedule(START + first * MS, &mut seq);
         if traffic == 2 {
             let pause = rejected(in_time).unwrap();
             assert!(first * MS + pause < 2000 * MS, "comes back {pause} later");
         }
-        brain.listed(START + 200 * MS, ListScope::Changes, &fleet());
+        scheduler.listed(START + 200 * MS, ListScope::Changes, &fleet());
         assert!(
-            brain.schedule(START + second * MS, &mut late) == Schedule::Aborted { release: true },
+            scheduler.schedule(START + second * MS, &mut late) == Schedule::Aborted { release: true },
             "{writer:?}"
         );
     }
@@ -134,10 +134,10 @@
 #[test]
 fn a_time_to_release_that_is_hardly_longer_than_a_look_still_lets_states_be_sent_on() {
     for release_within in [30 * MS, 60 * MS, 100 * MS] {
-        let mut brain = brain(Deployment { release_within, ..deployment() }, &fleet());
+        let mut scheduler = scheduler(Deployment { release_within, ..deployment() }, &fleet());
         let mut seq = sequence(1, 0, START);
-        read(&mut brain, START, &mut seq, 50 * MS);
-        sent(brain.schedule(START + 50 * MS, &mut seq));
+        read(&mut scheduler, START, &mut seq, 50 * MS);
+        sent(scheduler.schedule(START + 50 * MS, &mut seq));
     }
 }
 
@@ -145,18 +145,22 @@
 fn a_cold_reader_beside_mixed_servers_gets_its_part_of_what_readers_read() {
     let mut list: Vec<Listing> = (2..6).map(|n| entry(n, 2, 0)).collect();
     list.extend([entry(0, 0, 0), entry(1, 0, 0), entry(6, 1, 0)]);
-    let (mut brain, mut reads, mut cold) = (brain(deployment(), &list), 0, Vec::new());
+    let (mut scheduler, mut reads, mut cold) = (scheduler(deployment(), &list), 0, Vec::new());
     // Of nine in ten sequences that mixed servers take whole, readers know nothing.
     for id in 0..400u64 {
         let now = START + id * 20 * MS;
         let busy = id % 10 == 0 || id >= 200;
         for mixed in 2..6 {
             let share = if busy { 0.9 } else { 0.0 };
-            brain.reported(now, ServerId(mixed), Report { memory_share: Some(share), ..Report::default() });
+            scheduler.reported(
+                now,
+                ServerId(mixed),
+                Report { memory_share: Some(share), ..Report::default() },
+            );
         }
-        brain.reported(now, ServerId(6), Report { memory_share: Some(0.5), ..Report::default() });
+        scheduler.reported(now, ServerId(6), Report { memory_share: Some(0.5), ..Report::default() });
         if id == 200 {
-            brain.listed(
+            scheduler.listed(
                 now,
                 ListScope::Changes,
                 &[
@@ -166,18 +170,18 @@
             );
         }
         let mut seq = sequence(id, 0, now);
-        let Schedule::Send(server) = brain.schedule(now, &mut seq) else { continue };
+        let Schedule::Send(server) = scheduler.schedule(now, &mut seq) else { continue };
         if seq.attempts[0].step == Step::Whole {
-            brain.began(now, &mut seq, 0);
-            close(&mut brain, now + MS, &mut seq, Outcome::Generated);
+            scheduler.began(now, &mut seq, 0);
+            close(&mut scheduler, now + MS, &mut seq, Outcome::Generated);
             continue;
         }
         reads += u64::from(id < 200);
         cold.extend((id >= 200 && server == ServerId(0)).then_some(now));
-        close(&mut brain, now + MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
-        if let Schedule::Send(_) = brain.schedule(now + MS, &mut seq) {
-            brain.began(now + MS, &mut seq, 1);
-            close(&mut brain, now + 2 * MS, &mut seq, Outcome::Generated);
+        close(&mut scheduler, now + MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        if let Schedule::Send(_) = scheduler.schedule(now + MS, &mut seq) {
+            scheduler.began(now + MS, &mut seq, 1);
+            close(&mut scheduler, now + 2 * MS, &mut seq, Outcome::Generated);
         }
     }
     assert!((15..40).contains(&reads), "{reads} reads in four seconds before");
@@ -191,13 +195,17 @@
 fn where_mixed_servers_write_alone_a_state_stays_in_its_cell() {
     let list = [entry(0, 0, 0), entry(1, 2, 0), entry(2, 0, 1), entry(3, 2, 1)]
         .map(|l| Listing { zone: ZoneId(0), ..l });
-    let mut brain = brain(deployment(), &list);
+    let mut scheduler = scheduler(deployment(), &list);
     for id in 0..8 {
         let mut seq = sequence(id, 0, START);
         // Both mixed servers are reading; the one elsewhere holds somewhat less.
         for mixed in [1, 3] {
             let share = if mixed == 3 { 0.3 } else { 0.4 };
-            brain.reported(START, ServerId(mixed), Report { memory_share: Some(share), ..Report::default() });
+            scheduler.reported(
+                START,
+                ServerId(mixed),
+                Report { memory_share: Some(share), ..Report::default() },
+            );
         }
         seq.attempts.push(Attempt {
             server: ServerId(0),
@@ -209,29 +217,29 @@
             credit: 0.0,
         });
         (seq.state, seq.held_since) = (Some((ServerId(0), START)), Some(START));
-        assert_eq!(sent(brain.schedule(START, &mut seq)), ServerId(1));
-        brain.began(START, &mut seq, 1);
-        close(&mut brain, START, &mut seq, Outcome::Generated);
+        assert_eq!(sent(scheduler.schedule(START, &mut seq)), ServerId(1));
+        scheduler.began(START, &mut seq, 1);
+        close(&mut scheduler, START, &mut seq, Outcome::Generated);
     }
 }
 
 #[test]
 fn a_server_that_is_listed_as_another_kind_serves_as_that_from_then_on() {
-    let (mut brain, mut first) =
-        (brain(deployment(), &[entry(0, 0, 0), entry(1, 1, 0)]), sequence(1, 0, START));
-    read(&mut brain, START, &mut first, 10 * MS);
-    brain.listed(START, ListScope::Changes, &[entry(0, 1, 0), entry(1, 0, 0)]);
-    assert_eq!(sent(brain.schedule(START + 10 * MS, &mut first)), ServerId(0), "the one that writes now");
+    let (mut scheduler, mut first) =
+        (scheduler(deployment(), &[entry(0, 0, 0), entry(1, 1, 0)]), sequence(1, 0, START));
+    read(&mut scheduler, START, &mut first, 10 * MS);
+    scheduler.listed(START, ListScope::Changes, &[entry(0, 1, 0), entry(1, 0, 0)]);
+    assert_eq!(sent(scheduler.schedule(START + 10 * MS, &mut first)), ServerId(0), "the one that writes now");
     let mut seq = sequence(2, 1, START + 10 * MS);
-    assert_eq!(sent(brain.schedule(START + 10 * MS, &mut seq)), ServerId(1));
+    assert_eq!(sent(scheduler.schedule(START + 10 * MS, &mut seq)), ServerId(1));
     assert_eq!(seq.attempts[0].step, Step::Read);
 }
 
 #[test]
 fn a_list_that_is_refused_again_and_again_is_never_asked_for_without_a_pause() {
-    let mut brain =
-        Brain::new(START, Deployment { ask_within: 0, discovery: Discovery::Asked, ..deployment() }, 7);
-    assert!((0..10).all(|_| brain.refused() >= 20 * MS));
+    let mut scheduler =
+        Scheduler::new(START, Deployment { ask_within: 0, discovery: Discovery::Asked, ..deployment() }, 7);
+    assert!((0..10).all(|_| scheduler.refused() >= 20 * MS));
 }
 
 #[test]
@@ -244,20 +252,20 @@
             })
             .collect();
         for lost in 0..3 {
-            let (mut brain, mut seq) = (brain(deployment(), &list), sequence(1, 0, START));
-            let first = sent(brain.schedule(START, &mut seq));
+            let (mut scheduler, mut seq) = (scheduler(deployment(), &list), sequence(1, 0, START));
+            let first = sent(scheduler.schedule(START, &mut seq));
             let cell = first.0 / 3;
             let gone =
                 Listing { condition: Condition::Gone, ..entry(cell * 3 + lost, lost as usize, cell as i64) };
-            brain.listed(START, ListScope::Changes, &[gone]);
+            scheduler.listed(START, ListScope::Changes, &[gone]);
             let read = seq.attempts[0].step == Step::Read;
             close(
-                &mut brain,
+                &mut scheduler,
                 START + 10 * MS,
                 &mut seq,
                 if read { Outcome::ReadDone { kept: 0.0 } } else { Outcome::Reset },
             );
-            let next = sent(brain.schedule(START + 10 * MS, &mut seq));
+            let next = sent(scheduler.schedule(START + 10 * MS, &mut seq));
             assert_ne!(next, ServerId(cell * 3 + lost), "{kinds:?} without {lost}");
         }
     }
@@ -267,23 +275,23 @@
 fn a_server_that_has_told_no_load_ranks_as_the_mean_of_those_that_have() {
     let list = [entry(0, 0, 0), entry(1, 1, 0), entry(2, 1, 0), entry(3, 1, 0)];
     let told = |share: f64, other: f64| {
-        let mut brain = brain(deployment(), &list);
+        let mut scheduler = scheduler(deployment(), &list);
         for (writer, share) in [(1, share), (2, other)] {
             let memory_share = Some(share);
-            brain.reported(START, ServerId(writer), Report { memory_share, ..Report::default() });
+            scheduler.reported(START, ServerId(writer), Report { memory_share, ..Report::default() });
         }
         let mut seq = sequence(1, 0, START);
-        read(&mut brain, START, &mut seq, 0);
-        sent(brain.schedule(START, &mut seq))
+        read(&mut scheduler, START, &mut seq, 0);
+        sent(scheduler.schedule(START, &mut seq))
     };
     assert_eq!(told(0.2, 0.6), ServerId(1), "not the one of which nothing is known");
     assert_eq!(told(1.0, 1.0), ServerId(3), "nor is it full because they are");
     // No loads at all: own streams alone.
-    let (mut brain, mut writers) = (brain(deployment(), &list), [0; 4]);
+    let (mut scheduler, mut writers) = (scheduler(deployment(), &list), [0; 4]);
     for id in 0..9 {
         let mut seq = sequence(id, 0, START);
-        read(&mut brain, START, &mut seq, 0);
-        writers[sent(brain.schedule(START, &mut seq)).0 as usize] += 1;
+        read(&mut scheduler, START, &mut seq, 0);
+        writers[sent(scheduler.schedule(START, &mut seq)).0 as usize] += 1;
     }
     assert_eq!(writers, [0, 3, 3, 3]);
 }
@@ -299,22 +307,22 @@
     let ends = [Error, Full, NoState, TimedOut, ConnectFailed, Reset, NeverSent, ReadDone { kept: 0.0 }];
     let mut paths: Vec<Vec<Outcome>> = vec![Vec::new()];
     while let Some(path) = paths.pop() {
-        let (mut brain, mut seq, mut now) =
-            (brain(settings.clone(), list), sequence(1, traffic, START), START);
-        let mut answer = brain.schedule(now, &mut seq);
+        let (mut scheduler, mut seq, mut now) =
+            (scheduler(settings.clone(), list), sequence(1, traffic, START), START);
+        let mut answer = scheduler.schedule(now, &mut seq);
         for end in &path {
             // Its server starts anew under it, as far as it is reset.
             if *end == Reset {
                 let server = seq.attempts[seq.attempts.len() - 1].server;
                 let listed = list.iter().find(|l| l.server == server).unwrap();
-                brain.listed(now, ListScope::Changes, &[Listing { since: now, ..listed.clone() }]);
+                scheduler.listed(now, ListScope::Changes, &[Listing { since: now, ..listed.clone() }]);
             }
             now += 10 * MS;
-            close(&mut brain, now, &mut seq, *end);
-            answer = brain.schedule(now, &mut seq);
+            close(&mut scheduler, now, &mut seq, *end);
+            answer = scheduler.schedule(now, &mut seq);
             while answer == Schedule::NotYet {
-                now += brain.wait(now, &seq);
-                answer = brain.schedule(now, &mut seq);
+                now += scheduler.wait(now, &seq);
+                answer = scheduler.schedule(now, &mut seq);
             }
         }
         if !matches!(answer, Schedule::Send(_)) {
@@ -361,11 +369,11 @@
             .map(|n| Listing { since: if n % 4 == 0 { START } else { 0 }, ..entry(n, usize::from(n > 3), 0) })
             .collect();
         let settings = Deployment { gateways, ..deployment() };
-        let mut brains: Vec<Brain> = (0..gateways)
+        let mut schedulers: Vec<Scheduler> = (0..gateways)
             .map(|seed| {
-                let mut brain = Brain::new(START, settings.clone(), seed as u64);
-                brain.listed(START, ListScope::Remembered, &list);
-                brain
+                let mut scheduler = Scheduler::new(START, settings.clone(), seed as u64);
+                scheduler.listed(START, ListScope::Remembered, &list);
+                scheduler
             })
             .collect();
         let (gap, mut sends) = (4 * MS, [Vec::new(), Vec::new()]);
@@ -373,13 +381,13 @@
             let (now, at) = (START + id * gap, (id * 101 % gateways as u64) as usize);
             let mut seq = sequence(id, 0, now);
             seq.session = None;
-            while let Schedule::Send(server) = brains[at].schedule(now, &mut seq) {
+            while let Schedule::Send(server) = schedulers[at].schedule(now, &mut seq) {
                 let reads = seq.attempts[seq.attempts.len() - 1].step == Step::Read;
                 if server.0.is_multiple_of(4) {
                     sends[usize::from(!reads)].push(now);
                 }
                 close(
-                    &mut brains[at],
+                    &mut schedulers[at],
                     now,
                     &mut seq,
                     if reads { Outcome::ReadDone { kept: 0.0 } } else { Outcome::Generated },
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use oorandom::Rand64;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 use std::collections::BTreeMap;
 
@@ -38,11 +38,12 @@
     let fleet: Vec<Listing> = (0..2 * case.readers).map(pair).collect();
     let mut chance = Rand64::new(seed.into());
     let start = |now, list: &[Listing], seed: u64| {
-        let mut brain = Brain::new(now, settings.clone(), seed);
-        brain.listed(now, ListScope::Remembered, list);
-        brain
+        let mut scheduler = Scheduler::new(now, settings.clone(), seed);
+        scheduler.listed(now, ListScope::Remembered, list);
+        scheduler
     };
-    let mut brains: Vec<Brain> = (0..case.gateways as u64).map(|n| start(START, &fleet, seed + n)).collect();
+    let mut schedulers: Vec<Scheduler> =
+        (0..case.gateways as u64).map(|n| start(START, &fleet, seed + n)).collect();
     let told = START + 6000 * MS;
     let cold = |n: u64| Listing { since: told, ..pair(1000 + 2 * n) };
     let mut after: Vec<Listing> =
@@ -58,23 +59,23 @@
         }
         if now >= told && !changed {
             changed = true;
-            brains.iter_mut().for_each(|brain| brain.listed(now, ListScope::Whole, &after));
+            schedulers.iter_mut().for_each(|scheduler| scheduler.listed(now, ListScope::Whole, &after));
         }
         if case.restarts && now >= next_restart {
             next_restart += 200 * MS;
             let at = chance.rand_range(0..case.gateways as u64) as usize;
-            brains[at] = start(now, &after, seed + 10_000 + id);
+            schedulers[at] = start(now, &after, seed + 10_000 + id);
         }
         // A fifth of the gateways get half of the traffic.
         let few = (case.gateways as u64).div_ceil(5);
         let most = if chance.rand_float() < 0.5 { few } else { case.gateways as u64 };
         let at = chance.rand_range(0..most) as usize;
         let mut seq = Sequence { session: Some(SessionId(id)), ..sequence(id, 0, now) };
-        if let Schedule::Send(server) = brains[at].schedule(now, &mut seq) {
+        if let Schedule::Send(server) = schedulers[at].schedule(now, &mut seq) {
             if server.0 >= 1000 {
                 sent_at.entry(server).or_default().push(now);
             }
-            close(&mut brains[at], now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            close(&mut schedulers[at], now, &mut seq, Outcome::ReadDone { kept: 0.0 });
             seq.ended = true;
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small deployment and the steps that tests take with it.
 #![allow(dead_code)]
 
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 
 pub const MS: Nanos = 1_000_000;
@@ -67,10 +67,10 @@
     (0..6).map(|n| entry(n, usize::from(n % 3 > 0), (n / 3) as i64)).collect()
 }
 
-pub fn brain(deployment: Deployment, fleet: &[Listing]) -> Brain {
-    let mut brain = Brain::new(START, deployment, 7);
-    brain.listed(START, ListScope::Remembered, fleet);
-    brain
+pub fn scheduler(deployment: Deployment, fleet: &[Listing]) -> Scheduler {
+    let mut scheduler = Scheduler::new(START, deployment, 7);
+    scheduler.listed(START, ListScope::Remembered, fleet);
+    scheduler
 }
 
 pub fn sequence(id: u64, traffic: usize, now: Nanos) -> Sequence {
@@ -103,15 +103,15 @@
 }
 
 /// Closes the newest attempt.
-pub fn close(brain: &mut Brain, now: Nanos, seq: &mut Sequence, outcome: Outcome) -> Settled {
+pub fn close(scheduler: &mut Scheduler, now: Nanos, seq: &mut Sequence, outcome: Outcome) -> Settled {
     let n = seq.attempts.len() - 1;
     seq.attempts[n].reached = true;
-    brain.settle(now, seq, n, outcome, outcome == Outcome::Generated)
+    scheduler.settle(now, seq, n, outcome, outcome == Outcome::Generated)
 }
 
 /// A read that takes `time`, and the server it was sent to.
-pub fn read(brain: &mut Brain, now: Nanos, seq: &mut Sequence, time: Nanos) -> ServerId {
-    let reader = sent(brain.schedule(now, seq));
-    close(brain, now + time, seq, Outcome::ReadDone { kept: 0.0 });
+pub fn read(scheduler: &mut Scheduler, now: Nanos, seq: &mut Sequence, time: Nanos) -> ServerId {
+    let reader = sent(scheduler.schedule(now, seq));
+    close(scheduler, now + time, seq, Outcome::ReadDone { kept: 0.0 });
     reader
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,34 +3,34 @@
 mod common;
 
 use common::*;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 use std::collections::BTreeSet;
 
 #[test]
 fn the_writer_lies_in_the_readers_cell_and_is_the_least_loaded_there() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for id in 0..12 {
         let mut seq = sequence(id, 0, START);
-        let reader = read(&mut brain, START, &mut seq, 50 * MS);
-        brain.reported(
+        let reader = read(&mut scheduler, START, &mut seq, 50 * MS);
+        scheduler.reported(
             START,
             ServerId(reader.0 + 1),
             Report { memory_share: Some(0.5), ..Report::default() },
         );
-        let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
+        let writer = sent(scheduler.schedule(START + 50 * MS, &mut seq));
         assert_eq!(writer.0, reader.0 + 2);
-        brain.reported(START + 50 * MS, writer, Report { memory_share: Some(0.1), ..Report::default() });
+        scheduler.reported(START + 50 * MS, writer, Report { memory_share: Some(0.1), ..Report::default() });
     }
 }
 
 #[test]
 fn a_session_goes_back_to_the_reader_that_keeps_its_text() {
-    let mut brain = brain(deployment(), &fleet());
-    let first = read(&mut brain, START, &mut sequence(1, 0, START), 50 * MS);
+    let mut scheduler = scheduler(deployment(), &fleet());
+    let first = read(&mut scheduler, START, &mut sequence(1, 0, START), 50 * MS);
     for turn in 1..5 {
         let now = START + turn * 1000 * MS;
-        assert_eq!(read(&mut brain, now, &mut sequence(1, 0, now), 50 * MS), first);
+        assert_eq!(read(&mut scheduler, now, &mut sequence(1, 0, now), 50 * MS), first);
     }
 }
 
@@ -38,7 +38,7 @@
 fn a_gateway_that_starts_anew_turns_to_the_readers_its_fellows_use() {
     let mut list = fleet();
     list.reverse();
-    let (mut one, mut other) = (brain(deployment(), &fleet()), Brain::new(START, deployment(), 99));
+    let (mut one, mut other) = (scheduler(deployment(), &fleet()), Scheduler::new(START, deployment(), 99));
     other.listed(START, ListScope::Remembered, &list);
     for id in 0..20 {
         let now = START + id * 100 * MS;
@@ -50,24 +50,24 @@
 
 #[test]
 fn a_gateway_that_knows_no_times_is_patient() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    sent(brain.schedule(START, &mut seq));
-    assert_eq!(brain.wait(START, &seq), 2000 * MS);
+    sent(scheduler.schedule(START, &mut seq));
+    assert_eq!(scheduler.wait(START, &seq), 2000 * MS);
 }
 
 #[test]
 fn extreme_figures_and_repeated_outcomes_change_nothing() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let late = Listing { since: Nanos::MAX, condition: Condition::Gone, ..entry(9, 0, 0) };
-    brain.listed(START, ListScope::Changes, &[late]);
+    scheduler.listed(START, ListScope::Changes, &[late]);
     let mut seq = sequence(1, 0, START);
     seq.prompt_tokens = 1e300;
-    brain.schedule(START, &mut seq);
+    scheduler.schedule(START, &mut seq);
     let mut seq = sequence(2, 0, START);
-    read(&mut brain, START, &mut seq, 50 * MS);
-    sent(brain.schedule(START + 50 * MS, &mut seq));
-    assert_eq!(brain.settle(START + 60 * MS, &mut seq, 0, Outcome::Reset, false), Settled::Wait);
+    read(&mut scheduler, START, &mut seq, 50 * MS);
+    sent(scheduler.schedule(START + 50 * MS, &mut seq));
+    assert_eq!(scheduler.settle(START + 60 * MS, &mut seq, 0, Outcome::Reset, false), Settled::Wait);
 }
 
 #[test]
@@ -76,14 +76,14 @@
     let twice = [entry(0, 0, 0), Listing { since: START, ..entry(0, 0, 0) }, entry(0, 0, 0)];
     for list in [Vec::new(), one_kind(0), one_kind(1), twice.to_vec()] {
         for gateways in [1, 5000] {
-            let mut brain = brain(Deployment { gateways, ..deployment() }, &list);
+            let mut scheduler = scheduler(Deployment { gateways, ..deployment() }, &list);
             let (mut now, mut seq) = (START, sequence(1, 0, START));
             let over = (0..200).any(|_| {
-                let answer = brain.schedule(now, &mut seq);
-                now += brain.wait(now, &seq).max(1);
+                let answer = scheduler.schedule(now, &mut seq);
+                now += scheduler.wait(now, &seq).max(1);
                 if let Schedule::Send(_) = answer {
                     let outcome = Outcome::ReadDone { kept: 0.0 };
-                    close(&mut brain, now, &mut seq, outcome);
+                    close(&mut scheduler, now, &mut seq, outcome);
                 }
                 matches!(answer, Schedule::Rejected { .. } | Schedule::Aborted { .. })
             });
@@ -94,28 +94,28 @@
 
 #[test]
 fn readers_without_room_beside_them_still_take_their_part() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for writer in [1, 2] {
-        brain.reported(START, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
+        scheduler.reported(START, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
     }
     let mut readers = [0; 6];
     for id in 0..9 {
         let mut seq = sequence(id, 0, START);
         seq.session = None;
-        readers[sent(brain.schedule(START, &mut seq)).0 as usize] += 1;
+        readers[sent(scheduler.schedule(START, &mut seq)).0 as usize] += 1;
     }
     assert!(readers[0] >= 3 && readers[3] >= 3, "{readers:?}");
 }
 
 #[test]
 fn a_full_cell_hands_its_state_to_one_with_room() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    let reader = read(&mut brain, START, &mut seq, 50 * MS);
+    let reader = read(&mut scheduler, START, &mut seq, 50 * MS);
     for writer in [reader.0 + 1, reader.0 + 2] {
-        brain.reported(START, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
+        scheduler.reported(START, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
     }
-    let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
+    let writer = sent(scheduler.schedule(START + 50 * MS, &mut seq));
     assert_ne!(writer.0 / 3, reader.0 / 3);
 }
 
@@ -123,102 +123,102 @@
 fn a_cell_much_fuller_than_another_of_its_hall_hands_its_state_over() {
     let one_hall: Vec<Listing> = fleet().into_iter().map(|l| Listing { zone: ZoneId(0), ..l }).collect();
     for (share, leaves) in [(0.2, false), (0.6, true)] {
-        let mut brain = brain(deployment(), &one_hall);
+        let mut scheduler = scheduler(deployment(), &one_hall);
         let mut seq = sequence(1, 0, START);
-        let reader = read(&mut brain, START, &mut seq, 50 * MS);
+        let reader = read(&mut scheduler, START, &mut seq, 50 * MS);
         for writer in [reader.0 + 1, reader.0 + 2] {
-            brain.reported(
+            scheduler.reported(
                 START,
                 ServerId(writer),
                 Report { memory_share: Some(share), ..Report::default() },
             );
         }
-        let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
+        let writer = sent(scheduler.schedule(START + 50 * MS, &mut seq));
         assert_eq!(writer.0 / 3 != reader.0 / 3, leaves);
     }
 }
 
 #[test]
 fn a_state_that_went_with_its_reader_is_read_anew() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    let reader = read(&mut brain, START, &mut seq, 50 * MS);
+    let reader = read(&mut scheduler, START, &mut seq, 50 * MS);
     let gone = Listing { condition: Condition::Gone, ..fleet()[reader.0 as usize].clone() };
-    brain.listed(START, ListScope::Changes, &[gone]);
-    assert_eq!(sent(brain.schedule(START + 50 * MS, &mut seq)).0 % 3, 0);
+    scheduler.listed(START, ListScope::Changes, &[gone]);
+    assert_eq!(sent(scheduler.schedule(START + 50 * MS, &mut seq)).0 % 3, 0);
 }
 
 #[test]
 fn a_mixed_server_gets_one_unread_prompt_at_a_time_and_streams_are_no_queue() {
     let mut list = fleet();
     list.push(entry(6, 2, 0));
-    let mut brain = brain(deployment(), &list);
-    brain.reported(START, ServerId(6), Report { memory_share: Some(0.1), ..Report::default() });
+    let mut scheduler = scheduler(deployment(), &list);
+    scheduler.reported(START, ServerId(6), Report { memory_share: Some(0.1), ..Report::default() });
     for writer in [1, 2, 4, 5] {
-        brain.reported(START, ServerId(writer), Report { memory_share: Some(0.6), ..Report::default() });
+        scheduler.reported(START, ServerId(writer), Report { memory_share: Some(0.6), ..Report::default() });
     }
     let mut first = sequence(1, 0, START);
-    assert_eq!(sent(brain.schedule(START, &mut first)), ServerId(6));
-    assert_ne!(sent(brain.schedule(START, &mut sequence(2, 0, START))), ServerId(6));
-    brain.began(START + 30 * MS, &mut first, 0);
+    assert_eq!(sent(scheduler.schedule(START, &mut first)), ServerId(6));
+    assert_ne!(sent(scheduler.schedule(START, &mut sequence(2, 0, START))), ServerId(6));
+    scheduler.began(START + 30 * MS, &mut first, 0);
     for id in 3..20 {
         let now = START + id * 40 * MS;
         let mut seq = sequence(id, 0, now);
-        let server = sent(brain.schedule(now, &mut seq));
+        let server = sent(scheduler.schedule(now, &mut seq));
         if server == ServerId(6) {
-            brain.began(now + 30 * MS, &mut seq, 0);
+            scheduler.began(now + 30 * MS, &mut seq, 0);
         }
     }
 }
 
 #[test]
 fn a_silent_reader_is_passed_over_before_its_time_outs() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for id in 0..40 {
         let now = START + id * 100 * MS;
-        read(&mut brain, now, &mut sequence(id, 0, now), 50 * MS);
+        read(&mut scheduler, now, &mut sequence(id, 0, now), 50 * MS);
     }
     let quiet = START + 5000 * MS;
-    let lost = sent(brain.schedule(quiet, &mut sequence(50, 0, quiet)));
+    let lost = sent(scheduler.schedule(quiet, &mut sequence(50, 0, quiet)));
     for id in 51..60 {
         let now = quiet + 400 * MS;
-        assert_ne!(read(&mut brain, now, &mut sequence(id, 0, now), 50 * MS), lost);
+        assert_ne!(read(&mut scheduler, now, &mut sequence(id, 0, now), 50 * MS), lost);
     }
 }
 
 #[test]
 fn short_reads_do_not_make_long_prompts_look_late() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for id in 0..40 {
         let now = START + id * 100 * MS;
         let mut seq = sequence(id, 0, now);
         seq.session = None;
         seq.prompt_tokens = if id % 8 == 0 { 6000.0 } else { 20.0 };
         let time = if id % 8 == 0 { 300 } else { 30 };
-        read(&mut brain, now, &mut seq, time * MS);
+        read(&mut scheduler, now, &mut seq, time * MS);
     }
     let now = START + 4000 * MS;
     let mut seq = sequence(99, 0, now);
     (seq.prompt_tokens, seq.session) = (8000.0, None);
-    sent(brain.schedule(now, &mut seq));
+    sent(scheduler.schedule(now, &mut seq));
 }
 
 #[test]
 fn a_read_in_a_jam_is_given_the_time_the_jam_takes() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for id in 0..20 {
         let now = START + id * 200 * MS;
-        read(&mut brain, now, &mut sequence(100 + id, 0, now), 700 * MS);
+        read(&mut scheduler, now, &mut sequence(100 + id, 0, now), 700 * MS);
     }
     let now = START + 4000 * MS;
     let mut seq = sequence(1, 0, now);
-    sent(brain.schedule(now, &mut seq));
-    assert!(brain.wait(now, &seq) >= 1400 * MS);
+    sent(scheduler.schedule(now, &mut seq));
+    assert!(scheduler.wait(now, &seq) >= 1400 * MS);
 }
 
 #[test]
 fn cold_servers_of_one_cell_get_no_more_than_this_gateways_part() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut sends = Vec::new();
     for id in 0..200u64 {
         let now = START + id * 50 * MS;
@@ -226,12 +226,12 @@
             let mut change: Vec<Listing> = fleet();
             change[..3].iter_mut().for_each(|cold| cold.since = now);
             change[3..].iter_mut().for_each(|gone| gone.condition = Condition::Gone);
-            brain.listed(now, ListScope::Changes, &change);
+            scheduler.listed(now, ListScope::Changes, &change);
         }
         let mut seq = sequence(id, 0, now);
-        let Schedule::Send(reader) = brain.schedule(now, &mut seq) else { continue };
-        close(&mut brain, now + 20 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
-        let writer = brain.schedule(now + 20 * MS, &mut seq);
+        let Schedule::Send(reader) = scheduler.schedule(now, &mut seq) else { continue };
+        close(&mut scheduler, now + 20 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        let writer = scheduler.schedule(now + 20 * MS, &mut seq);
         if id >= 100 {
             sends.push((now, reader));
             sends.extend(if let Schedule::Send(writer) = writer {
@@ -241,8 +241,8 @@
             });
         }
         if let Schedule::Send(_) = writer {
-            brain.began(now + 30 * MS, &mut seq, 1);
-            close(&mut brain, now + 40 * MS, &mut seq, Outcome::Generated);
+            scheduler.began(now + 30 * MS, &mut seq, 1);
+            close(&mut scheduler, now + 40 * MS, &mut seq, Outcome::Generated);
         }
     }
     for (server, pool) in [(0, 2.0), (1, 4.0), (2, 4.0)] {
@@ -258,10 +258,11 @@
 fn hundreds_of_gateways_together_keep_a_cold_server_within_its_budget() {
     let gateways = 274;
     let deployment = Deployment { gateways, ..deployment() };
-    let mut brains: Vec<Brain> = (0..gateways).map(|_| brain(deployment.clone(), &fleet())).collect();
-    for (at, brain) in brains.iter_mut().enumerate() {
-        *brain = Brain::new(START, deployment.clone(), at as u64);
-        brain.listed(START, ListScope::Remembered, &fleet());
+    let mut schedulers: Vec<Scheduler> =
+        (0..gateways).map(|_| scheduler(deployment.clone(), &fleet())).collect();
+    for (at, scheduler) in schedulers.iter_mut().enumerate() {
+        *scheduler = Scheduler::new(START, deployment.clone(), at as u64);
+        scheduler.listed(START, ListScope::Remembered, &fleet());
     }
     let (mut sends, gap) = (Vec::new(), 7 * MS);
     let told = START + 8000 * MS;
@@ -270,13 +271,15 @@
         let at = (id * 101 % gateways as u64) as usize;
         if now >= told && now < told + gap {
             let cold = Listing { since: now, ..entry(0, 0, 0) };
-            brains.iter_mut().for_each(|b| b.listed(now, ListScope::Changes, std::slice::from_ref(&cold)));
+            schedulers
+                .iter_mut()
+                .for_each(|b| b.listed(now, ListScope::Changes, std::slice::from_ref(&cold)));
         }
         let mut seq = sequence(id, 0, now);
         seq.session = None;
-        if let Schedule::Send(server) = brains[at].schedule(now, &mut seq) {
+        if let Schedule::Send(server) = schedulers[at].schedule(now, &mut seq) {
             sends.extend((now >= told && server == ServerId(0)).then_some(now));
-            close(&mut brains[at], now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            close(&mut schedulers[at], now, &mut seq, Outcome::ReadDone { kept: 0.0 });
             seq.ended = true;
         }
     }
@@ -293,18 +296,18 @@
     let kinds = [(0, 0), (0, 0), (0, 0), (1, 0), (0, 1), (1, 1), (1, 1), (1, 1)];
     let list: Vec<Listing> = (0..).zip(kinds).map(|(id, (kind, cell))| entry(id, kind, cell)).collect();
     let list: Vec<Listing> = list.into_iter().map(|l| Listing { zone: ZoneId(0), ..l }).collect();
-    let mut brain = brain(Deployment { gateways: 100, ..deployment() }, &list);
+    let mut scheduler = scheduler(Deployment { gateways: 100, ..deployment() }, &list);
     let mut work = [0; 8];
     for id in 0..400 {
         let now = START + id * 1000 * MS;
         let mut seq = sequence(id, 0, now);
         seq.session = Some(SessionId(id));
-        let reader = read(&mut brain, now, &mut seq, 50 * MS);
-        let writer = sent(brain.schedule(now + 50 * MS, &mut seq));
+        let reader = read(&mut scheduler, now, &mut seq, 50 * MS);
+        let writer = sent(scheduler.schedule(now + 50 * MS, &mut seq));
         work[reader.0 as usize] += 1;
         work[writer.0 as usize] += 1;
-        brain.began(now + 90 * MS, &mut seq, 1);
-        close(&mut brain, now + 500 * MS, &mut seq, Outcome::Generated);
+        scheduler.began(now + 90 * MS, &mut seq, 1);
+        close(&mut scheduler, now + 500 * MS, &mut seq, Outcome::Generated);
     }
     let (reads, writes) = ([0, 1, 2, 4].map(|id: usize| work[id]), [work[3], work[5] + work[6] + work[7]]);
     assert!(reads.iter().all(|sent| (60..150).contains(sent)), "{work:?}");
@@ -313,16 +316,16 @@
 
 #[test]
 fn a_server_that_fails_one_traffic_type_is_left_by_it_and_kept_by_the_others() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     for id in 0..8 {
         let now = START + id * 100 * MS;
         for traffic in [0, 2] {
             let mut seq = sequence(id * 2 + traffic as u64, traffic, now);
             seq.session = None;
-            let reader = sent(brain.schedule(now, &mut seq));
+            let reader = sent(scheduler.schedule(now, &mut seq));
             let failing = traffic == 0 && reader == ServerId(0);
             let outcome = if failing { Outcome::Error } else { Outcome::ReadDone { kept: 0.0 } };
-            close(&mut brain, now + 30 * MS, &mut seq, outcome);
+            close(&mut scheduler, now + 30 * MS, &mut seq, outcome);
             seq.ended = true;
         }
     }
@@ -332,9 +335,9 @@
         for traffic in [0, 2] {
             let mut seq = sequence(id * 2 + traffic as u64, traffic, now);
             seq.session = None;
-            let reader = sent(brain.schedule(now, &mut seq));
+            let reader = sent(scheduler.schedule(now, &mut seq));
             sends[traffic][reader.0 as usize] += 1;
-            close(&mut brain, now + 30 * MS, &mut seq, Outcome::Cancelled);
+            close(&mut scheduler, now + 30 * MS, &mut seq, Outcome::Cancelled);
             seq.ended = true;
         }
     }
@@ -343,31 +346,31 @@
 
 #[test]
 fn a_gateway_with_little_traffic_takes_its_time_limits_from_all_servers_together() {
-    let mut brain = brain(Deployment { gateways: 100, ..deployment() }, &fleet());
+    let mut scheduler = scheduler(Deployment { gateways: 100, ..deployment() }, &fleet());
     for id in 0..4 {
         let now = START + id * 500 * MS;
         let mut seq = sequence(id, 0, now);
         seq.session = None;
-        let reader = sent(brain.schedule(now, &mut seq));
-        close(&mut brain, now + 60 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
-        brain.reported(now, reader, Report::default());
+        let reader = sent(scheduler.schedule(now, &mut seq));
+        close(&mut scheduler, now + 60 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        scheduler.reported(now, reader, Report::default());
     }
     let now = START + 6000 * MS;
     let mut seq = sequence(9, 0, now);
-    sent(brain.schedule(now, &mut seq));
-    let limit = brain.wait(now, &seq);
+    sent(scheduler.schedule(now, &mut seq));
+    let limit = scheduler.wait(now, &seq);
     assert!(limit > 400 * MS && limit < 1500 * MS, "{limit}");
 }
 
 #[test]
 fn a_jam_that_has_cleared_does_not_go_on_turning_work_away() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut take = |now: Nanos, id: u64, time: Nanos| {
         let mut seq = sequence(id, 1, now);
         (seq.session, seq.prompt_tokens, seq.prefix) = (None, 3000.0, None);
-        let answer = brain.schedule(now, &mut seq);
+        let answer = scheduler.schedule(now, &mut seq);
         if let Schedule::Send(_) = answer {
-            close(&mut brain, now + time, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            close(&mut scheduler, now + time, &mut seq, Outcome::ReadDone { kept: 0.0 });
             seq.ended = true;
         }
         matches!(answer, Schedule::Send(_))
@@ -379,26 +382,26 @@
 
 #[test]
 fn after_an_answer_that_went_wrong_the_prompt_is_read_anew_and_the_state_is_still_let_go_in_time() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    read(&mut brain, START, &mut seq, 50 * MS);
+    read(&mut scheduler, START, &mut seq, 50 * MS);
     let now = START + 100 * MS;
-    sent(brain.schedule(now, &mut seq));
-    close(&mut brain, now, &mut seq, Outcome::Error);
-    let reader = sent(brain.schedule(now, &mut seq));
+    sent(scheduler.schedule(now, &mut seq));
+    close(&mut scheduler, now, &mut seq, Outcome::Error);
+    let reader = sent(scheduler.schedule(now, &mut seq));
     assert_eq!((seq.attempts.last().map(|a| a.step), reader.0 % 3), (Some(Step::Read), 0));
-    close(&mut brain, now + 50 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
-    sent(brain.schedule(now + 50 * MS, &mut seq));
+    close(&mut scheduler, now + 50 * MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+    sent(scheduler.schedule(now + 50 * MS, &mut seq));
     assert_eq!(seq.attempts.last().map(|a| a.step), Some(Step::Write), "it had attempts left for both");
 
     // Where no reader can be had, what the first may still hold is let go within its time.
     let mut seq = sequence(2, 0, now);
-    read(&mut brain, now, &mut seq, 50 * MS);
-    sent(brain.schedule(now + 50 * MS, &mut seq));
-    close(&mut brain, now + 60 * MS, &mut seq, Outcome::Error);
+    read(&mut scheduler, now, &mut seq, 50 * MS);
+    sent(scheduler.schedule(now + 50 * MS, &mut seq));
+    close(&mut scheduler, now + 60 * MS, &mut seq, Outcome::Error);
     let gone = |id| Listing { condition: Condition::Draining, ..entry(id, 0, (id / 3) as i64) };
-    brain.listed(now + 60 * MS, ListScope::Changes, &[gone(0), gone(3)]);
-    let release = (0..15).find_map(|n| match brain.schedule(now + 60 * MS + n * 20 * MS, &mut seq) {
+    scheduler.listed(now + 60 * MS, ListScope::Changes, &[gone(0), gone(3)]);
+    let release = (0..15).find_map(|n| match scheduler.schedule(now + 60 * MS + n * 20 * MS, &mut seq) {
         Schedule::NotYet => None,
         Schedule::Rejected { release, .. } => Some(release),
         other => panic!("{other:?}"),
@@ -409,48 +412,48 @@
 #[test]
 fn one_connection_that_breaks_pauses_its_server_shortly_and_one_that_is_refused_for_longer() {
     for (outcome, paused) in [(Outcome::Reset, false), (Outcome::ConnectFailed, true)] {
-        let mut brain = brain(deployment(), &fleet()[..3]);
+        let mut scheduler = scheduler(deployment(), &fleet()[..3]);
         let mut seq = sequence(1, 0, START);
-        read(&mut brain, START, &mut seq, 50 * MS);
-        let writer = sent(brain.schedule(START + 50 * MS, &mut seq));
-        close(&mut brain, START + 60 * MS, &mut seq, outcome);
+        read(&mut scheduler, START, &mut seq, 50 * MS);
+        let writer = sent(scheduler.schedule(START + 50 * MS, &mut seq));
+        close(&mut scheduler, START + 60 * MS, &mut seq, outcome);
         let now = START + 500 * MS;
         let mut next = sequence(2, 0, now);
-        read(&mut brain, now, &mut next, 50 * MS);
+        read(&mut scheduler, now, &mut next, 50 * MS);
         let other = ServerId(3 - writer.0);
-        brain.reported(now, other, Report { memory_share: Some(0.5), ..Report::default() });
-        assert_eq!(sent(brain.schedule(now + 50 * MS, &mut next)) == other, paused, "{outcome:?}");
+        scheduler.reported(now, other, Report { memory_share: Some(0.5), ..Report::default() });
+        assert_eq!(sent(scheduler.schedule(now + 50 * MS, &mut next)) == other, paused, "{outcome:?}");
     }
 }
 
 #[test]
 fn a_writer_that_refuses_its_connection_is_not_turned_to_again_while_the_others_are_full() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    let reader = read(&mut brain, START, &mut seq, 50 * MS);
+    let reader = read(&mut scheduler, START, &mut seq, 50 * MS);
     let now = START + 50 * MS;
     for writer in [1, 2, 4, 5].into_iter().filter(|writer| *writer != reader.0 + 1) {
-        brain.reported(now, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
+        scheduler.reported(now, ServerId(writer), Report { memory_share: Some(1.0), ..Report::default() });
     }
-    let gone = sent(brain.schedule(now, &mut seq));
+    let gone = sent(scheduler.schedule(now, &mut seq));
     assert_eq!(gone.0, reader.0 + 1, "the only one with room");
     // Its streams ended with it, so it looks as empty as before.
-    close(&mut brain, now, &mut seq, Outcome::ConnectFailed);
-    assert_eq!(sent(brain.schedule(now, &mut seq)).0, reader.0 + 2, "full, and there");
+    close(&mut scheduler, now, &mut seq, Outcome::ConnectFailed);
+    assert_eq!(sent(scheduler.schedule(now, &mut seq)).0, reader.0 + 2, "full, and there");
 }
 
 #[test]
 fn where_no_attempts_are_left_for_a_new_read_and_write_the_last_one_asks_for_the_state_that_may_wait() {
-    let mut brain = brain(deployment(), &fleet());
+    let mut scheduler = scheduler(deployment(), &fleet());
     let mut seq = sequence(1, 0, START);
-    read(&mut brain, START, &mut seq, 50 * MS);
+    read(&mut scheduler, START, &mut seq, 50 * MS);
     let now = START + 50 * MS;
     for (step, outcome) in [(Step::Write, Outcome::Reset), (Step::Read, Outcome::Reset)] {
-        sent(brain.schedule(now, &mut seq));
+        sent(scheduler.schedule(now, &mut seq));
         assert_eq!(seq.attempts.last().map(|a| a.step), Some(step));
-        close(&mut brain, now, &mut seq, outcome);
+        close(&mut scheduler, now, &mut seq, outcome);
     }
-    sent(brain.schedule(now, &mut seq));
+    sent(scheduler.schedule(now, &mut seq));
     assert_eq!((seq.attempts.last().map(|a| a.step), seq.attempts.len()), (Some(Step::Write), 4));
 }
 
@@ -463,17 +466,17 @@
     for (alike, fewest, most) in [(false, 1, 8), (true, 14, 20)] {
         let (mut readers, mut held) = (BTreeSet::new(), BTreeSet::new());
         for gateway in 0..60 {
-            let mut brain = Brain::new(START, Deployment { gateways: 60, ..deployment() }, gateway);
-            brain.listed(START, ListScope::Remembered, &fleet);
+            let mut scheduler = Scheduler::new(START, Deployment { gateways: 60, ..deployment() }, gateway);
+            scheduler.listed(START, ListScope::Remembered, &fleet);
             for n in 0..=60 {
                 let mut seq = sequence(gateway * 100 + n, 0, START);
                 let text = if n == 60 || alike { 77 } else { 1_000 + gateway * 100 + n };
                 seq.session = Some(SessionId(seq.id.0));
                 (seq.prefix, seq.prefix_tokens) = (Some(PrefixId(text)), 800.0);
-                let reader = sent(brain.schedule(START, &mut seq));
+                let reader = sent(scheduler.schedule(START, &mut seq));
                 let found = !held.insert((reader, text));
                 let kept = if found { seq.prefix_tokens } else { 0.0 };
-                close(&mut brain, START + MS, &mut seq, Outcome::ReadDone { kept });
+                close(&mut scheduler, START + MS, &mut seq, Outcome::ReadDone { kept });
                 if n == 60 {
                     readers.insert(reader);
                 }
@@ -492,48 +495,48 @@
     };
     // A gateway that has sent many other texts of late.
     let knowing = || {
-        let mut brain = brain(deployment(), &fleet);
+        let mut scheduler = scheduler(deployment(), &fleet);
         for n in 0..100 {
             let (session, prefix) = (Some(SessionId(n)), Some(PrefixId(1_000 + n)));
             let mut seq = Sequence { session, prefix, prefix_tokens: 800.0, ..sequence(n, 0, START) };
-            read(&mut brain, START, &mut seq, MS);
+            read(&mut scheduler, START, &mut seq, MS);
         }
-        brain
+        scheduler
     };
     let home = read(&mut knowing(), START, &mut rare(500), MS);
     // A short read that is out there is less than what the home is hoped to have kept.
-    let mut brain = knowing();
+    let mut scheduler = knowing();
     for n in 600.. {
         let mut short =
             Sequence { session: Some(SessionId(n)), prompt_tokens: 100.0, ..sequence(n, 0, START) };
-        if sent(brain.schedule(START, &mut short)) == home {
+        if sent(scheduler.schedule(START, &mut short)) == home {
             break;
         }
-        close(&mut brain, START + MS, &mut short, Outcome::ReadDone { kept: 0.0 });
+        close(&mut scheduler, START + MS, &mut short, Outcome::ReadDone { kept: 0.0 });
     }
-    assert_eq!(sent(brain.schedule(START, &mut rare(501))), home);
+    assert_eq!(sent(scheduler.schedule(START, &mut rare(501))), home);
 }
 
 #[test]
 fn a_heavy_prompt_uses_up_more_of_a_cold_servers_part_than_a_mean_one() {
     let next = |tokens: f64| {
-        let mut brain = brain(deployment(), &fleet());
+        let mut scheduler = scheduler(deployment(), &fleet());
         let mut now = START;
         for id in 0..200 {
             now += 50 * MS;
             let mut seq = sequence(id, 0, now);
-            sent(brain.schedule(now, &mut seq));
-            close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            sent(scheduler.schedule(now, &mut seq));
+            close(&mut scheduler, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
         }
         // One reader of two starts anew; how long after its first sequence it gets another.
-        brain.listed(now, ListScope::Changes, &[Listing { since: now, ..entry(0, 0, 0) }]);
+        scheduler.listed(now, ListScope::Changes, &[Listing { since: now, ..entry(0, 0, 0) }]);
         let mut first = None;
         for id in 1000.. {
             now += 10 * MS;
             let tokens = if first.is_none() { tokens } else { 1000.0 };
             let mut seq = Sequence { prompt_tokens: tokens, ..sequence(id, 0, now) };
-            let reader = sent(brain.schedule(now, &mut seq));
-            close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+            let reader = sent(scheduler.schedule(now, &mut seq));
+            close(&mut scheduler, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
             match first {
                 Some(first) if reader == ServerId(0) => return now - first,
                 None if reader == ServerId(0) => first = Some(now),
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use oorandom::Rand64;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 use std::fmt::Write;
 use std::path::PathBuf;
@@ -82,20 +82,20 @@
         ..deployment()
     };
     let mut list: Vec<Listing> = (0..course.servers).map(|n| listing(course, &mut chance, n)).collect();
-    let mut brain = Brain::new(START, settings, seed);
-    brain.listed(START, ListScope::Remembered, &list);
+    let mut scheduler = Scheduler::new(START, settings, seed);
+    scheduler.listed(START, ListScope::Remembered, &list);
     let (mut now, mut hand, mut told) = (START, Vec::<Sequence>::new(), String::new());
     for step in 0..course.steps {
         now += (chance.rand_float() * 60.0) as Nanos * MS;
         match chance.rand_range(0..12) {
             0 => {
                 let changed = change(&mut chance, now, &mut list);
-                brain.listed(now, ListScope::Changes, &changed);
+                scheduler.listed(now, ListScope::Changes, &changed);
             }
-            1 if step % 50 == 0 => brain.listed(now, ListScope::Whole, &list),
+            1 if step % 50 == 0 => scheduler.listed(now, ListScope::Whole, &list),
             1..=3 => {
                 let server = ServerId(chance.rand_range(0..course.servers));
-                brain.reported(now, server, report(&mut chance));
+                scheduler.reported(now, server, report(&mut chance));
             }
             4..=6 => {
                 let id = step as u64;
@@ -109,8 +109,8 @@
                     hint: (chance.rand_float() < 0.3).then(|| chance.rand_range(1..20) * 600 * MS),
                     ..sequence(id, chance.rand_range(0..5) as usize, now)
                 };
-                let answer = brain.schedule(now, &mut seq);
-                let _ = writeln!(told, "{step} {id} {answer:?} {}", brain.wait(now, &seq));
+                let answer = scheduler.schedule(now, &mut seq);
+                let _ = writeln!(told, "{step} {id} {answer:?} {}", scheduler.wait(now, &seq));
                 hand.push(seq);
             }
             _ if !hand.is_empty() => {
@@ -121,15 +121,15 @@
                     let (step_taken, begun) = (seq.attempts[n].step, chance.rand_float() < 0.8);
                     let got = outcome(&mut chance, step_taken, seq.prefix_tokens);
                     if got == Outcome::Generated && begun {
-                        brain.began(now, seq, n);
+                        scheduler.began(now, seq, n);
                     }
                     seq.attempts[n].reached = true;
-                    let settled = brain.settle(now, seq, n, got, got == Outcome::Generated);
+                    let settled = scheduler.settle(now, seq, n, got, got == Outcome::Generated);
                     let _ = writeln!(told, "{step} {} {settled:?}", seq.id.0);
                 }
                 if !seq.ended {
-                    let answer = brain.schedule(now, seq);
-                    let _ = writeln!(told, "{step} {} {answer:?} {}", seq.id.0, brain.wait(now, seq));
+                    let answer = scheduler.schedule(now, seq);
+                    let _ = writeln!(told, "{step} {} {answer:?} {}", seq.id.0, scheduler.wait(now, seq));
                 }
                 if seq.ended {
                     hand.swap_remove(at);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 use quickcheck::{Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -21,7 +21,7 @@
 }
 
 struct World {
-    brain: Brain,
+    scheduler: Scheduler,
     deployment: Deployment,
     now: Nanos,
     list: BTreeMap<ServerId, Listing>,
@@ -36,7 +36,7 @@
         list.push(entry(6, 2, 1));
         let deployment = Deployment { cold_multiple: 1.0, cold_from: 0.2, ..deployment() };
         World {
-            brain: brain(deployment.clone(), &list),
+            scheduler: scheduler(deployment.clone(), &list),
             deployment,
             now: START,
             list: list.into_iter().map(|l| (l.server, l)).collect(),
@@ -48,7 +48,7 @@
 
     fn ask(&mut self, at: usize) {
         let now = self.now;
-        let answer = self.brain.schedule(now, &mut self.hand[at].seq);
+        let answer = self.scheduler.schedule(now, &mut self.hand[at].seq);
         let effect = self.deployment.types[self.hand[at].seq.traffic.0].effect;
         let t = &mut self.hand[at];
         let ran = t.seen.iter().find(|(.., ran)| *ran).copied();
@@ -87,11 +87,11 @@
                 let runs = listing.kind != KindId(0);
                 t.seen.push((server, listing.cell, now, runs));
                 (t.out, t.held_since) = (true, None);
-                t.due = now + self.brain.wait(now, &t.seq);
+                t.due = now + self.scheduler.wait(now, &t.seq);
             }
             Schedule::NotYet => {
                 assert!(!t.over && !t.out);
-                t.due = now + self.brain.wait(now, &t.seq).max(1);
+                t.due = now + self.scheduler.wait(now, &t.seq).max(1);
             }
             Schedule::Rejected { release, .. } => {
                 let harmless = match (effect, ran) {
@@ -133,7 +133,7 @@
         if matches!(outcome, Outcome::ReadDone { .. }) || (t.seq.state.is_some() && !taken) {
             t.held_since = Some(now);
         }
-        match self.brain.settle(now, &mut t.seq, n, outcome, last) {
+        match self.scheduler.settle(now, &mut t.seq, n, outcome, last) {
             Settled::Schedule => {
                 assert!(!last, "rule 1: goes on after the end");
                 self.ask(at);
@@ -196,7 +196,7 @@
                     _ if reads => Outcome::ReadDone { kept: 0.0 },
                     5..=7 if !self.hand[at].streaming && !self.hand[at].over => {
                         let n = self.hand[at].seen.len() - 1;
-                        self.brain.began(self.now, &mut self.hand[at].seq, n);
+                        self.scheduler.began(self.now, &mut self.hand[at].seq, n);
                         self.hand[at].streaming = true;
                         return;
                     }
@@ -217,7 +217,7 @@
                     self.cold_sends.remove(&server);
                 }
                 let change = [listing.clone()];
-                self.brain.listed(self.now, ListScope::Changes, &change);
+                self.scheduler.listed(self.now, ListScope::Changes, &change);
             }
             15 if !out.is_empty() => {
                 let t = &mut self.hand[out[pick % out.len()]];
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 
 /// Cells of 20 servers, 5 of which are prefill servers, over seven zones.
@@ -31,20 +31,20 @@
 }
 
 /// A request whole, as far as it is sent; the most servers that one decision looked at.
-fn serve(brain: &mut Brain, now: Nanos, seq: &mut Sequence) -> u64 {
+fn serve(scheduler: &mut Scheduler, now: Nanos, seq: &mut Sequence) -> u64 {
     let mut most = 0;
     while !seq.ended {
-        let before = brain.examined();
-        let answer = brain.schedule(now, seq);
-        most = most.max(brain.examined() - before);
+        let before = scheduler.examined();
+        let answer = scheduler.schedule(now, seq);
+        most = most.max(scheduler.examined() - before);
         let Schedule::Send(_) = answer else { break };
         let n = seq.attempts.len() - 1;
         let read = seq.attempts[n].step == Step::Read;
         if !read {
-            brain.began(now + 5 * MS, seq, n);
+            scheduler.began(now + 5 * MS, seq, n);
         }
         let outcome = if read { Outcome::ReadDone { kept: 0.0 } } else { Outcome::Generated };
-        brain.settle(now + 5 * MS, seq, n, outcome, !read);
+        scheduler.settle(now + 5 * MS, seq, n, outcome, !read);
     }
     most
 }
@@ -54,11 +54,11 @@
     let mut list = large(servers);
     list.iter_mut().filter(|l| cold(l.server.0)).for_each(|l| l.since = START);
     let slow_start = Deployment { cold_for: 1_000_000 * MS, ..at_size(tenants) };
-    let mut brain = brain(slow_start, &list);
-    serve(&mut brain, START, &mut request(0, 0, tenants, START));
+    let mut scheduler = scheduler(slow_start, &list);
+    serve(&mut scheduler, START, &mut request(0, 0, tenants, START));
     let served = (1..600).map(|id| {
         let now = START + id * 15 * MS;
-        serve(&mut brain, now, &mut request(id, 0, tenants, now))
+        serve(&mut scheduler, now, &mut request(id, 0, tenants, now))
     });
     served.max().unwrap()
 }
@@ -77,10 +77,10 @@
         }
     }
     let scan = |servers| {
-        let mut brain = Brain::scanning(START, at_size(0), 7);
-        brain.listed(START, ListScope::Whole, &large(servers));
-        serve(&mut brain, START, &mut request(0, 0, 0, START));
-        serve(&mut brain, START + 300 * MS, &mut request(1, 0, 0, START + 300 * MS))
+        let mut scheduler = Scheduler::scanning(START, at_size(0), 7);
+        scheduler.listed(START, ListScope::Whole, &large(servers));
+        serve(&mut scheduler, START, &mut request(0, 0, 0, START));
+        serve(&mut scheduler, START + 300 * MS, &mut request(1, 0, 0, START + 300 * MS))
     };
     assert!(scan(4_200) > 4_200, "the count tells a look at all of them");
 }
@@ -88,20 +88,20 @@
 #[test]
 fn a_ready_server_that_exists_is_found_although_none_that_is_named_is_ready() {
     let list = large(4_000);
-    let mut brain = brain(at_size(0), &list);
+    let mut scheduler = scheduler(at_size(0), &list);
     let last = ServerId(2_468);
     let (mut now, mut waits, mut found) = (START, Vec::new(), 0);
     for id in 0..8_000 {
         now += MS / 5;
         let mut seq = request(id, 0, 0, now);
-        match brain.schedule(now, &mut seq) {
+        match scheduler.schedule(now, &mut seq) {
             Schedule::Send(server) if server == last => {
                 found += 1;
-                close(&mut brain, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
+                close(&mut scheduler, now, &mut seq, Outcome::ReadDone { kept: 0.0 });
             }
             // All prefill servers but one refuse their connections, and are passed over for two seconds.
             Schedule::Send(_) => {
-                close(&mut brain, now, &mut seq, Outcome::ConnectFailed);
+                close(&mut scheduler, now, &mut seq, Outcome::ConnectFailed);
             }
             Schedule::NotYet => waits.push(seq),
             other => panic!("{other:?}"),
@@ -115,7 +115,7 @@
     let mut looks = 0;
     loop {
         looks += 1;
-        match brain.schedule(now, &mut held) {
+        match scheduler.schedule(now, &mut held) {
             Schedule::Send(server) => break assert_eq!(server, last),
             answer => assert!(answer == Schedule::NotYet && looks < 25, "{answer:?} after {looks} looks"),
         }
@@ -125,16 +125,16 @@
 
 #[test]
 fn where_a_group_knows_the_repeats_a_further_attempt_stays_in_it() {
-    let mut brain = brain(at_size(0), &large(4_200));
+    let mut scheduler = scheduler(at_size(0), &large(4_200));
     let (mut further, mut now) = (0, START);
     for id in 0..300 {
         for traffic in [3, 4] {
             now += 20 * MS;
             let mut seq = request(id * 2 + traffic as u64 % 2, traffic, 0, now);
-            read(&mut brain, now, &mut seq, 5 * MS);
-            let first = sent(brain.schedule(now + 5 * MS, &mut seq));
-            close(&mut brain, now + 10 * MS, &mut seq, Outcome::Error);
-            if let Schedule::Send(next) = brain.schedule(now + 10 * MS, &mut seq) {
+            read(&mut scheduler, now, &mut seq, 5 * MS);
+            let first = sent(scheduler.schedule(now + 5 * MS, &mut seq));
+            close(&mut scheduler, now + 10 * MS, &mut seq, Outcome::Error);
+            if let Schedule::Send(next) = scheduler.schedule(now + 10 * MS, &mut seq) {
                 further += 1;
                 let [a, b] = [first, next].map(|server| server.0 / 20);
                 assert!(if traffic == 3 { a == b } else { a % 7 == b % 7 }, "{first:?}, then {next:?}");
@@ -146,17 +146,17 @@
 
 #[test]
 fn the_prefill_goes_to_the_zone_and_the_decode_stays_in_the_cell() {
-    let mut brain = brain(at_size(0), &large(4_200));
+    let mut scheduler = scheduler(at_size(0), &large(4_200));
     let (mut beside, mut here) = (0, 0);
     for id in 0..500 {
         let now = START + id * 15 * MS;
         let mut seq = request(id, 0, 0, now);
-        let reader = read(&mut brain, now, &mut seq, 5 * MS);
+        let reader = read(&mut scheduler, now, &mut seq, 5 * MS);
         here += u64::from((reader.0 / 20).is_multiple_of(7));
-        let writer = sent(brain.schedule(now + 5 * MS, &mut seq));
+        let writer = sent(scheduler.schedule(now + 5 * MS, &mut seq));
         assert!(reader.0.is_multiple_of(4) && !writer.0.is_multiple_of(4));
         beside += u64::from(reader.0 / 20 == writer.0 / 20);
-        close(&mut brain, now + 9 * MS, &mut seq, Outcome::Generated);
+        close(&mut scheduler, now + 9 * MS, &mut seq, Outcome::Generated);
     }
     assert!(
         here > 350 && beside > 450,
@@ -166,19 +166,19 @@
 
 #[test]
 fn sessions_come_to_the_same_few_servers_from_every_gateway() {
-    let mut brains: Vec<Brain> = (0..40)
+    let mut schedulers: Vec<Scheduler> = (0..40)
         .map(|n| {
-            let mut brain = Brain::new(START, at_size(0), n);
-            brain.listed(START, ListScope::Remembered, &large(4_200));
-            brain
+            let mut scheduler = Scheduler::new(START, at_size(0), n);
+            scheduler.listed(START, ListScope::Remembered, &large(4_200));
+            scheduler
         })
         .collect();
     let mut same = 0;
     for session in 0..50 {
         let mut readers = std::collections::BTreeMap::<ServerId, u64>::new();
-        for brain in &mut brains {
+        for scheduler in &mut schedulers {
             let mut seq = Sequence { prefix: None, ..request(session, 0, 0, START) };
-            *readers.entry(sent(brain.schedule(START, &mut seq))).or_default() += 1;
+            *readers.entry(sent(scheduler.schedule(START, &mut seq))).or_default() += 1;
         }
         same += readers.values().max().unwrap();
     }
@@ -188,12 +188,12 @@
 #[test]
 fn the_same_seed_decides_the_same_and_gateways_do_not_all_draw_alike() {
     let course = |seed: u64| -> Vec<ServerId> {
-        let mut brain = Brain::new(START, at_size(64), seed);
-        brain.listed(START, ListScope::Whole, &large(2_000));
+        let mut scheduler = Scheduler::new(START, at_size(64), seed);
+        scheduler.listed(START, ListScope::Whole, &large(2_000));
         let served = (0..400).flat_map(|id| {
             let now = START + id * 10 * MS;
             let mut seq = request(id, 0, 64, now);
-            serve(&mut brain, now, &mut seq);
+            serve(&mut scheduler, now, &mut seq);
             seq.attempts.into_iter().map(|attempt| attempt.server).collect::<Vec<_>>()
         });
         served.collect()
@@ -209,15 +209,15 @@
     let one_cell = large(4_200).into_iter().map(|l| Listing { cell: CellId(0), ..l }).collect();
     let mixed = large(1_000).into_iter().map(|l| Listing { kind: KindId(2), ..l }).collect();
     let served = |list: Vec<Listing>| -> usize {
-        let mut brain = brain(at_size(640), &list);
+        let mut scheduler = scheduler(at_size(640), &list);
         let answers = (0..200).map(|id| {
             let now = START + id * 15 * MS;
             let mut seq = request(id, 0, 640, now);
-            serve(&mut brain, now, &mut seq);
+            serve(&mut scheduler, now, &mut seq);
             // What is held is given up in its time.
             if !seq.ended {
                 seq.abandon_at = now;
-                assert!(!matches!(brain.schedule(now, &mut seq), Schedule::Send(_) | Schedule::NotYet));
+                assert!(!matches!(scheduler.schedule(now, &mut seq), Schedule::Send(_) | Schedule::NotYet));
             }
             usize::from(seq.attempts.last().is_some_and(|a| a.status == Status::Closed(Outcome::Generated)))
         });
--- a/tests/texts.rs
+++ b/tests/texts.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use oorandom::Rand64;
-use petrelshore::Brain;
+use petrelshore::Scheduler;
 use petrelshore::interface::*;
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,7 +13,7 @@
 /// Gateways before pairs of a reader and a writer, and what the readers have kept: texts of which each is asked for in
 /// proportion to its place in the list.
 struct World {
-    brains: Vec<Brain>,
+    schedulers: Vec<Scheduler>,
     readers: u64,
     /// Texts by reader, with when each was last read there, in reads.
     kept: HashMap<(ServerId, u64), u64>,
@@ -37,9 +37,9 @@
         let fleet: Vec<Listing> = (0..2 * readers).map(pair).collect();
         let settings = Deployment { gateways, ..deployment() };
         let start = |seed| {
-            let mut brain = Brain::new(START, settings.clone(), seed as u64);
-            brain.listed(START, ListScope::Remembered, &fleet);
-            brain
+            let mut scheduler = Scheduler::new(START, settings.clone(), seed as u64);
+            scheduler.listed(START, ListScope::Remembered, &fleet);
+            scheduler
         };
         let weights = (0..texts).map(|n| 1.0 / (n as f64 + 1.0).powf(0.85));
         let shares = weights.scan(0.0, |sum, weight| {
@@ -47,7 +47,7 @@
             Some(*sum)
         });
         World {
-            brains: (0..gateways).map(start).collect(),
+            schedulers: (0..gateways).map(start).collect(),
             readers,
             kept: HashMap::new(),
             shares: shares.collect(),
@@ -63,19 +63,19 @@
         for _ in 0..count {
             self.reads += 1;
             self.now += 200 * MS / self.readers;
-            let at = self.chance.rand_range(0..self.brains.len() as u64) as usize;
+            let at = self.chance.rand_range(0..self.schedulers.len() as u64) as usize;
             let drawn = self.chance.rand_float() * self.shares[self.shares.len() - 1];
             let text = self.shares.partition_point(|sum| *sum < drawn) as u64;
             let mut seq = sequence(self.reads, 0, self.now);
             seq.session = Some(SessionId(self.reads));
             (seq.prefix, seq.prefix_tokens) = (Some(PrefixId(1_000 + text)), TEXT);
             seq.prompt_tokens = TEXT + 1000.0;
-            let reader = sent(self.brains[at].schedule(self.now, &mut seq));
+            let reader = sent(self.schedulers[at].schedule(self.now, &mut seq));
             let last = self.kept.insert((reader, text), self.reads);
             let kept = if last.is_some_and(|last| self.reads - last < life) { TEXT } else { 0.0 };
             found += u64::from(kept > 0.0);
             *by_reader.entry(reader).or_default() += 1;
-            close(&mut self.brains[at], self.now, &mut seq, Outcome::ReadDone { kept });
+            close(&mut self.schedulers[at], self.now, &mut seq, Outcome::ReadDone { kept });
             seq.ended = true;
         }
         let most = by_reader.values().copied().max().unwrap_or(0) as f64;
