Auditor: what arrives from a gateway that was just killed was on its way before

The auditor was wrong: a killed gateway has no duty any more. Change: an arrival while its gateway is down counts as before the kill; one after its return counts as ever, which the auditor's test now asks for too.

--- a/rehearsal/src/auditor.rs
+++ b/rehearsal/src/auditor.rs
@@ -4,7 +4,7 @@
 //! held and let go. Times between processes on one machine differ by scheduling, so each bound has some slack.
 
 use petrelshore_stand_in::record::{Entry, FinalSeen, Nanos, Passed};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const MILLISECOND: Nanos = 1_000_000;
 
@@ -270,12 +270,12 @@
     let last = entries.last().map_or(0, |entry| entry.at);
     let check = |sequence: &str, holding: &Holding, until: Nanos, verdict: &mut Verdict| {
         let Some(since) = holding.idle_since else { return };
-        // What a killed gateway held is no longer its duty.
+        // What a killed gateway held is no longer its duty. What arrives from it while it is down was on its way before.
         let killed = downs
             .get(holding.gateway)
             .into_iter()
             .flatten()
-            .any(|(down, _)| *down >= holding.began && *down <= until);
+            .any(|(down, back)| *back > holding.began && *down <= until);
         if until > since + figures.release_within + figures.slack && !killed {
             let held = (until - since) / MILLISECOND;
             let what = format!("a state of {sequence} was held for {held} ms with no attempt out");
@@ -328,10 +328,16 @@
 pub fn left_behind(entries: &[Entry]) -> usize {
     let mut held: BTreeMap<(&str, &str), &str> = BTreeMap::new();
     let mut gateways: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut down: BTreeSet<&str> = BTreeSet::new();
     for entry in entries {
         match &entry.passed {
             Passed::Arrived { gateway, request, .. } => {
-                gateways.insert(request, gateway.strip_prefix("petrelshore/").unwrap_or(gateway));
+                let gateway = gateway.strip_prefix("petrelshore/").unwrap_or(gateway);
+                // What arrives from a gateway that is down was on its way before.
+                gateways.insert(request, if down.contains(gateway) { "" } else { gateway });
+            }
+            Passed::Back { gateway } => {
+                down.remove(gateway.as_str());
             }
             Passed::StateHeld { server, request } => {
                 let gateway = gateways.get(request.as_str()).copied().unwrap_or_default();
@@ -341,6 +347,7 @@
                 held.remove(&(server.as_str(), request.as_str()));
             }
             Passed::Killed { gateway } => {
+                down.insert(gateway);
                 held.retain(|_, of| *of != gateway);
                 gateways.retain(|_, of| *of != gateway);
             }
--- a/rehearsal/tests/auditor.rs
+++ b/rehearsal/tests/auditor.rs
@@ -1,6 +1,6 @@
 //! The auditor against records in which one rule at a time is broken, and against the same without the break.
 
-use petrelshore_rehearsal::auditor::{Effect, Figures, judge};
+use petrelshore_rehearsal::auditor::{Effect, Figures, judge, left_behind};
 use petrelshore_stand_in::record::{Entry, FinalSeen, Passed};
 
 const MS: u64 = 1_000_000;
@@ -133,4 +133,19 @@
     let out = vec![(300, arrived("w1", 1, "write")), (4_000, over("w1", 1)), (4_100, gone("r1", 0))];
     assert_eq!(with(out), NONE);
     assert_eq!(with(vec![(100, killed()), (5_000, told(true))]), NONE);
+    // A read that was on its way as its gateway was killed is nobody's duty; one from the gateway after its return is.
+    let back = || Passed::Back { gateway: "gw".to_owned() };
+    let killed_first = |returns: u64, arrives: u64| {
+        let read = read().into_iter().map(|(at, passed)| (at + arrives, passed));
+        let mut record: Vec<(u64, Passed)> =
+            read.chain([(9, killed()), (returns, back()), (5_000, told(true))]).collect();
+        record.sort_by_key(|(at, _)| *at);
+        record
+    };
+    assert_eq!(broken(killed_first(600, 10)), NONE);
+    assert_eq!(broken(killed_first(600, 700)), [5]);
+    let left = |record: Vec<(u64, Passed)>| {
+        left_behind(&record.into_iter().map(|(at, passed)| Entry { at: at * MS, passed }).collect::<Vec<_>>())
+    };
+    assert_eq!((left(killed_first(600, 10)), left(killed_first(600, 700))), (0, 1));
 }
