--- a/framing/src/arrivals.rs
+++ b/framing/src/arrivals.rs
@@ -21,8 +21,10 @@
 }
 
 impl Arrivals {
-    /// So many bytes have come.
-    pub fn came(&mut self, now: Instant, count: usize) {
+    /// So many bytes have come, behind `unused` that were not used yet: times of the others are dropped, also on a
+    /// connection whose times nobody asks for.
+    pub fn came(&mut self, now: Instant, count: usize, unused: usize) {
+        self.first_of(unused);
         self.bytes += count as u64;
         match self.pieces.back_mut() {
             Some(last) if now.saturating_duration_since(last.came) < SAME_PIECE => last.end = self.bytes,
@@ -30,6 +32,11 @@
         }
     }
 
+    /// Pieces whose times are kept.
+    pub fn pieces(&self) -> usize {
+        self.pieces.len()
+    }
+
     /// When the first of the bytes came that are still to be used, `unused` in number; none where there are none.
     pub fn first_of(&mut self, unused: usize) -> Option<Instant> {
         let used = self.bytes.saturating_sub(unused as u64);
--- a/framing/src/wire.rs
+++ b/framing/src/wire.rs
@@ -73,8 +73,8 @@
         let taken = stream.read_with(|mut socket| {
             let mut piece = [0; PIECE];
             let count = socket.read(&mut piece)?;
+            arrivals.came(Instant::now(), count, buffer.len());
             buffer.extend_from_slice(&piece[..count]);
-            arrivals.came(Instant::now(), count);
             Ok(count)
         });
         let count = taken.await?;
