Tests that fail: interrupted calls, a log that can't be written, signals that are lost

Cause: read off framing/src/wire.rs (any error of recv or send breaks the connection), cli/src/platform.rs (the first error of the signal stream ends the loop that follows signals) and the log's writer (an error is told by eprintln, which panics where standard error fails). A library preloaded into the gateway has its system calls fail (soak/shim, C, built with cc); rustix goes by the C library so that its calls can be reached too.

--- /dev/null
+++ b/cli/tests/system_calls.rs
@@ -0,0 +1,111 @@
+//! System calls of a gateway that fail in the ways the system documents, and a wall clock that is wrong: the process is
+//! real, and a preloaded library has its calls fail.
+
+mod common;
+
+use common::*;
+use petrelshore_soak::shim::{Fault, Faults, Library};
+use petrelshore_stand_in::platform::{Manner, ModelServer, config};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+const SEED: u64 = 1;
+
+fn library() -> &'static Library {
+    static BUILT: OnceLock<Library> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("faults-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Library::build(&folder).unwrap()
+    })
+}
+
+fn faults(name: &str) -> Faults {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.words", std::process::id()));
+    Faults::new(library(), file, SEED).unwrap()
+}
+
+/// A gateway that suffers these faults.
+fn suffering(faults: &Faults) -> impl Fn(&PathBuf) -> Command + '_ {
+    |file| {
+        let mut command = command(file);
+        faults.preload(&mut command);
+        command
+    }
+}
+
+/// Asks on a connection of its own; the status line, and whether the answer was whole.
+fn asked(at: SocketAddr, id: u64) -> (String, bool) {
+    let mut client = TcpStream::connect(at).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client.write_all(asks(id, "").as_bytes()).unwrap();
+    let (status, _, whole) = answer(&mut BufReader::new(client));
+    (status, whole)
+}
+
+/// How many of so many requests were served whole.
+fn served(at: SocketAddr, requests: u64) -> u64 {
+    let served = |id: &u64| {
+        let (status, whole) = asked(at, *id);
+        status.starts_with("HTTP/1.1 200") && whole
+    };
+    (1..=requests).filter(served).count() as u64
+}
+
+#[test]
+fn calls_that_are_interrupted_or_move_a_few_bytes_lose_no_request() {
+    let faults = faults("interrupted");
+    let world = World::start_as("interrupted", suffering(&faults));
+    faults.set(Fault::Interrupted, 20).unwrap();
+    faults.set(Fault::ShortTransfer, 10).unwrap();
+    assert_eq!(served(world.at, 200), 200);
+    assert!(faults.get(Fault::CallsFailed).unwrap() > 100, "the faults were there");
+}
+
+#[test]
+fn a_gateway_whose_log_can_not_be_written_goes_on() {
+    let reader = ModelServer::start(true, Manner::Good).unwrap();
+    let writer = ModelServer::start(false, Manner::Good).unwrap();
+    let entries = [
+        petrelshore_stand_in::platform::entry("r", reader.address, "reader", "active"),
+        petrelshore_stand_in::platform::entry("w", writer.address, "writer", "active"),
+    ];
+    let agent = petrelshore_stand_in::platform::Agent::start(&entries.join(",")).unwrap();
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let listen = SocketAddr::from(([127, 77, high, low.max(1)], 9000));
+    let file = file("full-log");
+    std::fs::write(&file, config(listen, agent.address, &entries.join(","))).unwrap();
+    let full = std::fs::File::options().write(true).open("/dev/full").unwrap();
+    let mut child = command(&file).stderr(Stdio::from(full)).spawn().unwrap();
+    let until = Instant::now() + PATIENCE;
+    while TcpStream::connect(listen).is_err() && child.try_wait().unwrap().is_none() {
+        assert!(Instant::now() < until, "it never listened");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let served = child.try_wait().unwrap().is_none() && served(listen, 3) == 3;
+    let _ = child.kill();
+    let _ = child.wait();
+    let _ = std::fs::remove_file(&file);
+    assert!(served, "a line of its log that could not be written ended it");
+}
+
+#[test]
+fn the_word_to_stop_is_taken_although_calls_are_interrupted() {
+    let faults = faults("stop");
+    let mut world = World::start_as("stop-interrupted", suffering(&faults));
+    faults.set(Fault::Interrupted, 2).unwrap();
+    faults.set(Fault::ShortTransfer, 2).unwrap();
+    world.signal("-HUP");
+    world.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(50));
+    world.signal("-TERM");
+    let until = Instant::now() + PATIENCE;
+    while world.child.try_wait().unwrap().is_none() {
+        assert!(Instant::now() < until, "it did not take the word to stop");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,3 @@
+//! Randomized faults against `petrelshore platform` processes, judged by what passed on their sockets.
+
+pub mod shim;
