Interrupted calls, a log that can't be written and lost signals end nothing

Cause: Wire::fill and Wire::write took EINTR, ENOBUFS and ENOMEM for the end of their connection; Peer::has_left asked once; one error of the signal stream, or a signal number read in two pieces, ended the following of signals; the log's own errors went to eprintln. Signals are remembered by flags in their handlers. Lines of the log that fail are dropped. Accept pauses only where descriptors or memory are short; listening and reading the configuration at the start are tried again.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,10 +3,12 @@
 mod operator;
 mod platform;
 mod serve;
+mod signals;
 mod trial;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use petrelshore_rehearsal::load;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -134,6 +136,8 @@
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
+        // A line that can't be written is dropped. It must not be told on standard error either: that would panic.
+        .log_internal_errors(false)
         .with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
     match command.logs.logs {
         LogForm::Text => lines.init(),
@@ -163,6 +167,6 @@
 }
 
 fn failed(message: &str) -> ExitCode {
-    eprintln!("petrelshore: {message}");
+    let _ = writeln!(std::io::stderr(), "petrelshore: {message}");
     ExitCode::FAILURE
 }
--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -1,10 +1,10 @@
 //! One gateway on the operators' platform: start, reload, stop.
 
+use crate::signals::{Signal, Signals};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_signal::{Signal, Signals};
 use event_listener::Event;
-use futures_lite::{StreamExt, future};
+use futures_lite::future;
 use petrelshore::interface::Nanos;
 use petrelshore_front::entrance::bind;
 use petrelshore_gateway::Spawner;
@@ -33,23 +33,49 @@
 /// What the gateway holds is logged so often.
 const LOGGED: Duration = Duration::from_secs(5);
 
-fn read() -> Result<Config, String> {
-    let file = std::env::var(FILE).map_err(|_| format!("{FILE} is not set"))?;
-    let text = std::fs::read_to_string(&file).map_err(|error| format!("{file}: {error}"))?;
-    config(&text).map_err(|what| format!("{file}: {what}"))
+/// Why a configuration was not had.
+enum NoConfig {
+    /// The file could not be read, which may pass.
+    Unread(String),
+    Malformed(String),
+}
+
+impl From<NoConfig> for String {
+    fn from(why: NoConfig) -> String {
+        match why {
+            NoConfig::Unread(what) | NoConfig::Malformed(what) => what,
+        }
+    }
+}
+
+fn read() -> Result<Config, NoConfig> {
+    let file = std::env::var(FILE).map_err(|_| NoConfig::Malformed(format!("{FILE} is not set")))?;
+    let text =
+        std::fs::read_to_string(&file).map_err(|error| NoConfig::Unread(format!("{file}: {error}")))?;
+    config(&text).map_err(|what| NoConfig::Malformed(format!("{file}: {what}")))
+}
+
+/// Reads the file at the start, again where it could not be read.
+fn read_at_start() -> Result<Config, NoConfig> {
+    for _ in 1..READINGS {
+        match read() {
+            Err(NoConfig::Unread(_)) => std::thread::sleep(PAUSE),
+            read => return read,
+        }
+    }
+    read()
 }
 
 /// Serves until a signal to stop.
 pub fn platform() -> Result<(), String> {
-    let config = read()?;
+    let config = read_at_start()?;
     let executor = Rc::new(LocalExecutor::new());
     async_io::block_on(executor.run(run(config, &executor)))
 }
 
 async fn run(config: Config, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
     // Signals are caught before anybody can connect: whoever sees the gateway ready may send one at once.
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let mut signals = Signals::catch().await.map_err(|error| error.to_string())?;
     let listening =
         bind(config.listen).await.map_err(|error| format!("listen: {}: {error}", config.listen))?;
     let descriptors = config.descriptors.saturating_sub(OWN);
@@ -69,10 +95,10 @@
     let told_to_stop = stopped.listen();
     let (reloads, spawns, stops) = (service.clone(), executor.clone(), stopped.clone());
     let follow_signals = async move {
-        while let Some(Ok(signal)) = signals.next().await {
-            match signal {
-                Signal::Hup => spawns.spawn(reload(reloads.clone())).detach(),
-                _ => drop(stops.notify(usize::MAX)),
+        loop {
+            match signals.next().await {
+                Signal::Reload => spawns.spawn(reload(reloads.clone())).detach(),
+                Signal::Stop => drop(stops.notify(usize::MAX)),
             }
         }
     };
@@ -135,7 +161,10 @@
                 info!(discovery = %config.discovery, "took the new configuration");
                 return service.move_discovery(config.discovery);
             }
-            Err(what) => warn!(what, reading, "the configuration is not good: staying with the one before"),
+            Err(why) => warn!(
+                what = String::from(why),
+                reading, "the configuration is not good: staying with the one before"
+            ),
         }
         Timer::after(PAUSE).await;
     }
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -1,14 +1,15 @@
 //! The daemon: start, reload, stop.
 
 use crate::operator;
+use crate::signals::{Signal, Signals};
 use async_executor::LocalExecutor;
-use async_signal::{Signal, Signals};
-use futures_lite::{StreamExt, future};
+use futures_lite::future;
 use petrelshore_chat as chat;
 use petrelshore_gateway::{Gateway, Spawner};
 use petrelshore_grpc as grpc;
 use petrelshore_inventory::{Format, read_list};
 use petrelshore_settings::{Problem, Settings, read};
+use std::io::Write;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,8 +55,7 @@
 
 async fn run(settings: Settings, executor: &Rc<LocalExecutor<'static>>) -> Result<(), String> {
     // Signals are caught before the ready line: whoever waits for that line may send one at once.
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let mut signals = Signals::catch().await.map_err(|error| error.to_string())?;
     let listening = chat::bind(settings.chat).await.map_err(|error| format!("{}: {error}", settings.chat))?;
     let (name, chat, operator) = (settings.name.clone(), listening.address, settings.operator);
     let mut grpc_listening = None;
@@ -75,14 +75,13 @@
         executor.spawn(operator::serve(listener, gateway.clone())).detach();
     }
     let front = executor.spawn(chat::serve(listening, entrance));
-    println!(
+    // A gateway whose standard output can't be written serves all the same.
+    let _ = writeln!(
+        std::io::stdout(),
         "petrelshore {name} ready: chat on {chat}{grpc_at}{operator_at}, {} model servers",
         gateway.servers()
     );
-    while let Some(Ok(signal)) = signals.next().await {
-        if signal != Signal::Hup {
-            break;
-        }
+    while signals.next().await == Signal::Reload {
         match gateway.reload() {
             Ok(servers) => info!(servers, "reloaded the inventory"),
             Err(error) => warn!(%error, "the inventory is not good: staying with the last good list"),
--- a/cli/src/trial.rs
+++ b/cli/src/trial.rs
@@ -1,9 +1,9 @@
 //! Trying things out: a fleet in this process, or one stand-in.
 
+use crate::signals::{Signal, Signals};
 use async_executor::LocalExecutor;
-use async_signal::{Signal, Signals};
 use clap::ValueEnum;
-use futures_lite::{StreamExt, future};
+use futures_lite::future;
 use petrelshore_gateway::Chooser;
 use petrelshore_rehearsal::rehearse::Outcome;
 use petrelshore_rehearsal::{fleet, load, rehearse, script};
@@ -31,8 +31,8 @@
 }
 
 async fn stopped() -> Result<(), String> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|error| error.to_string())?;
-    signals.next().await;
+    let mut signals = Signals::catch().await.map_err(|error| error.to_string())?;
+    while signals.next().await != Signal::Stop {}
     Ok(())
 }
 
--- a/framing/src/wire.rs
+++ b/framing/src/wire.rs
@@ -3,11 +3,13 @@
 use crate::Unreadable;
 use crate::arrivals::Arrivals;
 use crate::head::{self, AnswerHead, RequestHead};
+use crate::system_calls::{Failure, RETRY_PAUSE, failure, uninterrupted};
 use async_io::{Async, Timer};
 use bytes::BytesMut;
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use std::io::{self, ErrorKind, Read};
+use std::cell::Cell;
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +22,9 @@
 /// After the last byte for a peer its own are taken and dropped for so long, and so many of them.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 1 << 20;
+/// Where there is no way to the network, connecting is tried again for so long: it may be back in a moment, and a peer
+/// that is cut off must not take up the time of the next one.
+const NETWORK_BACK: Duration = Duration::from_millis(150);
 /// Most answers of status 1xx before the one that counts.
 const INTERIM: usize = 1000;
 
@@ -43,6 +48,15 @@
     }
 }
 
+/// Why a connection was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unconnected {
+    /// This machine had no descriptor, port or memory for it: that says nothing of the peer.
+    Scarce,
+    /// The peer refused, did not answer in time, or can't be reached.
+    Peer,
+}
+
 pub struct Wire {
     stream: Arc<Async<TcpStream>>,
     pub buffer: BytesMut,
@@ -57,32 +71,58 @@
         Wire { stream, buffer: BytesMut::new(), arrivals: Arrivals::default() }
     }
 
-    /// A new connection, or none within the time.
-    pub async fn connect(to: SocketAddr, within: Duration) -> Option<Self> {
-        let connected = async { Async::<TcpStream>::connect(to).await.ok() };
+    /// A new connection within the time. What fails for a moment on this machine is tried again until then.
+    pub async fn connect(to: SocketAddr, within: Duration) -> Result<Self, Unconnected> {
+        let began = Instant::now();
+        let scarce = Cell::new(false);
+        let connected = async {
+            loop {
+                let error = match Async::<TcpStream>::connect(to).await {
+                    Ok(stream) => return Ok(Wire::new(stream)),
+                    Err(error) => error,
+                };
+                let failure = failure(&error);
+                scarce.set(failure == Failure::Scarce);
+                match failure {
+                    Failure::Again => {}
+                    Failure::Network if began.elapsed() >= NETWORK_BACK => return Err(Unconnected::Peer),
+                    Failure::Scarce | Failure::Network => drop(Timer::after(RETRY_PAUSE).await),
+                    Failure::Lasting => return Err(Unconnected::Peer),
+                }
+            }
+        };
         let late = async {
             Timer::after(within).await;
-            None
+            Err(if scarce.get() { Unconnected::Scarce } else { Unconnected::Peer })
         };
-        future::or(connected, late).await.map(Wire::new)
+        future::or(connected, late).await
     }
 
     /// Takes what comes next into the buffer; nothing came where the peer has closed.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        let count = loop {
+            match self.take().await {
+                Err(error) if failure(&error) == Failure::Scarce => drop(Timer::after(RETRY_PAUSE).await),
+                taken => break taken?,
+            }
+        };
+        if count == PIECE {
+            // Guards against a peer that sends without end: others get their turn.
+            future::yield_now().await;
+        }
+        Ok(count)
+    }
+
+    async fn take(&mut self) -> io::Result<usize> {
         let Wire { stream, buffer, arrivals } = self;
         let taken = stream.read_with(|mut socket| {
             let mut piece = [0; PIECE];
-            let count = socket.read(&mut piece)?;
+            let count = uninterrupted(|| socket.read(&mut piece))?;
             arrivals.came(Instant::now(), count, buffer.len());
             buffer.extend_from_slice(&piece[..count]);
             Ok(count)
         });
-        let count = taken.await?;
-        if count == PIECE {
-            // Guards against a peer that sends without end: others get their turn.
-            future::yield_now().await;
-        }
-        Ok(count)
+        taken.await
     }
 
     /// When the first byte of what is in the buffer came: also of a request that waited behind another one.
@@ -90,8 +130,18 @@
         self.arrivals.first_of(self.buffer.len())
     }
 
+    /// Writes all of it. After an error its last byte has not been written.
     pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        (&*self.stream).write_all(bytes).await
+        let mut left = bytes;
+        while !left.is_empty() {
+            match self.stream.write_with(|mut socket| uninterrupted(|| socket.write(left))).await {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => left = &left[count..],
+                Err(error) if failure(&error) == Failure::Scarce => drop(Timer::after(RETRY_PAUSE).await),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 
     /// The next request's head.
@@ -179,7 +229,7 @@
     /// a loop that is busy may not have got to it.
     pub fn has_left(&self) -> bool {
         let mut sockets = [PollFd::new(&self.0, PollFlags::RDHUP)];
-        let looked = poll(&mut sockets, Some(&Timespec::default()));
+        let looked = uninterrupted(|| Ok(poll(&mut sockets, Some(&Timespec::default()))?));
         let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
         let hung_up = looked.is_ok() && sockets[0].revents().intersects(ended);
         hung_up || self.looked().is_some_and(|looked| looked == 0)
@@ -192,9 +242,10 @@
 
     /// Bytes that lie there, at most one, zero at the end; none while nothing has come.
     fn looked(&self) -> Option<usize> {
-        match self.0.get_ref().peek(&mut [0]) {
+        match uninterrupted(|| self.0.get_ref().peek(&mut [0])) {
             Ok(count) => Some(count),
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => None,
+            Err(error) if failure(&error) == Failure::Scarce => None,
             Err(_) => Some(0),
         }
     }
--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -4,8 +4,10 @@
 use async_net::{TcpListener, TcpStream};
 use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::{intake, pace};
+use petrelshore_framing::system_calls::{Failure, accept_failure, listen_failure};
 use petrelshore_gateway::Gateway;
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +17,9 @@
 const WAITING: i32 = 1024;
 /// After a failed accept, as when file handles run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// So often is listening tried again, after a pause: well within the time that a start may take.
+const BINDINGS: usize = 50;
+const BIND_PAUSE: Duration = Duration::from_millis(100);
 /// Past the conductor's own bound for a client that takes nothing, its socket is closed.
 const CLOSE_AFTER: Duration = Duration::from_secs(2);
 
@@ -24,7 +29,21 @@
     pub address: SocketAddr,
 }
 
-pub async fn bind(address: SocketAddr) -> std::io::Result<Listening> {
+/// Listens at an address; what fails for a moment is tried again.
+pub async fn bind(address: SocketAddr) -> io::Result<Listening> {
+    for _ in 0..BINDINGS {
+        match listen(address).await {
+            Err(error) if matches!(listen_failure(&error), Failure::Again | Failure::Scarce) => {
+                debug!(%error, %address, "listening failed: trying again");
+                Timer::after(BIND_PAUSE).await;
+            }
+            listening => return listening,
+        }
+    }
+    listen(address).await
+}
+
+async fn listen(address: SocketAddr) -> io::Result<Listening> {
     let listener = TcpListener::bind(address).await?;
     // Bound anew with a longer queue: where it overflows, clients wait a second for their next try.
     rustix::net::listen(&listener, WAITING)?;
@@ -40,7 +59,9 @@
                 Ok(accepted) => return accepted,
                 Err(error) => {
                     debug!(%error, "accept failed");
-                    Timer::after(ACCEPT_PAUSE).await;
+                    if accept_failure(&error) != Failure::Again {
+                        Timer::after(ACCEPT_PAUSE).await;
+                    }
                 }
             }
         }
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -9,7 +9,7 @@
 use petrelshore_conductor::proof::Ending;
 use petrelshore_framing::body::Body;
 use petrelshore_framing::head::AnswerHead;
-use petrelshore_framing::wire::{Broken, Wire};
+use petrelshore_framing::wire::{Broken, Unconnected, Wire};
 use petrelshore_gateway::Clock;
 use petrelshore_platform_terms::load::{self, Field};
 use std::cell::RefCell;
@@ -311,7 +311,10 @@
             return Err(Ending::NotSent);
         }
         let permit = self.permits.clone();
-        let wire = Wire::connect(to, within).await.ok_or(Ending::NotConnected)?;
+        let wire = Wire::connect(to, within).await.map_err(|why| match why {
+            Unconnected::Scarce => Ending::NotSent,
+            Unconnected::Peer => Ending::NotConnected,
+        })?;
         Ok(PooledConnection { wire, _permit: permit })
     }
 
