Tests that fail: slow start and kept states by a wall clock that is wrong or stepped

Cause: Scheduler::listed takes Listing::since, stamped by other machines' wall clocks, for a time of the own clock; Scheduler::schedule compares it with when a state was read; Fleet::listed takes an earlier stamp for no start.

--- a/conductor/tests/common/mod.rs
+++ b/conductor/tests/common/mod.rs
@@ -34,5 +34,6 @@
         cold_multiple: 2.5,
         cold_window: S,
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     }
 }
--- a/conductor/tests/desk.rs
+++ b/conductor/tests/desk.rs
@@ -41,6 +41,7 @@
         cold_multiple: 2.0,
         cold_window: MS,
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     };
     let listing = |number: u64| Listing {
         server: ServerId(number),
--- a/conductor/tests/rules.rs
+++ b/conductor/tests/rules.rs
@@ -84,6 +84,7 @@
         cold_multiple: 2.5,
         cold_window: 500 * MS,
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     }
 }
 
--- a/platform-terms/src/settings.rs
+++ b/platform-terms/src/settings.rs
@@ -170,6 +170,7 @@
         cold_multiple: number(s, "rules.overloadFactor")?,
         cold_window: nanos(s, "rules.overloadFor")?.max(1),
         tick: nanos(s, "tick")?,
+        start_stamps: StartStamps::OwnClock,
     };
     Ok((deployment, names))
 }
--- a/scale/src/inventory.rs
+++ b/scale/src/inventory.rs
@@ -55,6 +55,7 @@
         cold_multiple: 2.5,
         cold_window: 2 * SECOND,
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     }
 }
 
--- a/settings/src/records.rs
+++ b/settings/src/records.rs
@@ -339,6 +339,7 @@
         cold_multiple: record.cold.multiple,
         cold_window: d.time("cold.window", &record.cold.window).max(1),
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     };
     let abandon_times: Vec<Nanos> = traffic.iter().map(|t| t.abandon_time).collect();
     for finding in terms::check(&deployment, &abandon_times) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,7 @@
     pub cold_window: Nanos,
     /// A timer may come this much later than it was asked for.
     pub tick: Nanos,
+    pub start_stamps: StartStamps,
 }
 
 impl Deployment {
@@ -76,6 +77,15 @@
     }
 }
 
+/// By which clock lists tell when servers started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartStamps {
+    /// The clock that the decisions are told the time by.
+    OwnClock,
+    /// The wall clocks of other machines, which may be wrong, and be stepped.
+    WallClock,
+}
+
 #[derive(Clone, Debug)]
 pub struct TrafficType {
     pub utility: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,7 @@
         cold_multiple: 2.5,
         cold_window: 1500 * MS,
         tick: 0,
+        start_stamps: StartStamps::OwnClock,
     }
 }
 
--- /dev/null
+++ b/tests/wall_clocks.rs
@@ -0,0 +1,104 @@
+//! Lists tell by wall clocks when servers started, and those clocks may be wrong by an hour, and be stepped: slow start
+//! neither is skipped nor lasts longer for it.
+
+mod common;
+
+use common::*;
+use petrelshore::Scheduler;
+use petrelshore::interface::*;
+
+const S: Nanos = 1_000 * MS;
+const HOUR: i64 = 3_600;
+/// A time of the own clock from which an hour can be taken away.
+const NOW: Nanos = 1_000_000 * S;
+const COLD_SECONDS: usize = 10;
+/// By how many seconds the wall clock that stamps starts is ahead of the gateway's.
+const AHEAD: [i64; 6] = [-HOUR, -600, -30, 30, 600, HOUR];
+
+fn settings(start_stamps: StartStamps) -> Deployment {
+    Deployment { start_stamps, ..deployment() }
+}
+
+/// Two prefill servers of one cell, each started at a time of its own, and two decode servers that were there for long.
+fn listings(starts: [Nanos; 2]) -> Vec<Listing> {
+    let starts = [starts[0], starts[1], 0, 0];
+    (0..4).map(|n| Listing { since: starts[n as usize], ..entry(n, usize::from(n >= 2), 0) }).collect()
+}
+
+fn stamp(at: Nanos, ahead: i64) -> Nanos {
+    at.saturating_add_signed(ahead * S as i64)
+}
+
+/// Reads that go to server 1 in each of so many seconds, while 100 reads a second come and each is answered at once.
+fn reads(scheduler: &mut Scheduler, from: Nanos, seconds: usize) -> Vec<u64> {
+    let read = |now: Nanos| {
+        let mut seq = Sequence { session: None, ..sequence(now, 0, now) };
+        let Schedule::Send(server) = scheduler.schedule(now, &mut seq) else { return 0 };
+        close(scheduler, now + MS, &mut seq, Outcome::ReadDone { kept: 0.0 });
+        u64::from(server == ServerId(1))
+    };
+    let mut reads: Vec<u64> = (0..100 * seconds as u64).map(|n| from + 10 * MS * n).map(read).collect();
+    reads.chunks_exact_mut(100).map(|second| second.iter().sum()).collect()
+}
+
+/// The same from the moment on in which server 1 is listed as started anew just now. How far the clock that stamps its
+/// starts is ahead, at its first start and at this one.
+fn restarted(start_stamps: StartStamps, before: i64, ahead: i64) -> Vec<u64> {
+    let mut scheduler = Scheduler::new(NOW, settings(start_stamps), 7);
+    scheduler.listed(NOW, ListScope::Whole, &listings([0, stamp(NOW - 50 * S, before)]));
+    reads(&mut scheduler, NOW, 30);
+    scheduler.listed(NOW + 30 * S, ListScope::Changes, &[]);
+    let again = Listing { since: stamp(NOW + 30 * S, ahead), ..listings([0, 0])[1].clone() };
+    scheduler.listed(NOW + 30 * S, ListScope::Changes, &[again]);
+    reads(&mut scheduler, NOW + 30 * S, 2 * COLD_SECONDS)
+}
+
+/// No more than it should be sent while cold, and as much as it should once warm.
+fn like(seen: &[u64], right: &[u64], what: &str) {
+    let sums =
+        |reads: &[u64]| (reads[..COLD_SECONDS / 2].iter().sum::<u64>(), reads[15..].iter().sum::<u64>());
+    let ((cold, warm), (right_cold, right_warm)) = (sums(seen), sums(right));
+    assert!(cold as f64 <= 1.2 * right_cold as f64 + 5.0, "{what}: {cold} for {right_cold} while cold");
+    assert!(warm as f64 >= 0.8 * right_warm as f64, "{what}: {warm} for {right_warm} once warm");
+}
+
+#[test]
+fn a_restart_is_slow_start_whatever_the_wall_clock_says_or_however_it_was_stepped() {
+    let right = restarted(StartStamps::OwnClock, 0, 0);
+    assert!(right[0] < 40 && right[15] >= 40, "the case tells cold from warm: {right:?}");
+    for ahead in AHEAD {
+        like(&restarted(StartStamps::WallClock, ahead, ahead), &right, &format!("{ahead} s ahead"));
+        like(&restarted(StartStamps::WallClock, 0, ahead), &right, &format!("a step of {ahead} s"));
+    }
+}
+
+#[test]
+fn a_gateway_that_starts_with_a_wrong_wall_clock_keeps_slow_start_and_ends_it() {
+    let started = |start_stamps, ahead| {
+        let mut scheduler = Scheduler::new(NOW, settings(start_stamps), 7);
+        // One restarted a minute ago, the other just now.
+        let list = listings([stamp(NOW - 60 * S, ahead), stamp(NOW, ahead)]);
+        scheduler.listed(NOW, ListScope::Remembered, &list);
+        scheduler.listed(NOW + 10 * MS, ListScope::Whole, &list);
+        reads(&mut scheduler, NOW + 20 * MS, 20)
+    };
+    let right = started(StartStamps::OwnClock, 0);
+    for ahead in AHEAD {
+        like(&started(StartStamps::WallClock, ahead), &right, &format!("{ahead} s ahead"));
+    }
+}
+
+#[test]
+fn what_a_server_has_read_since_its_start_is_used_whatever_the_wall_clock_says() {
+    for ahead in AHEAD {
+        let mut scheduler = Scheduler::new(NOW, settings(StartStamps::WallClock), 7);
+        scheduler.listed(NOW, ListScope::Whole, &listings([0, 0]));
+        let again = [0, 1].map(|n| Listing { since: stamp(NOW + S, ahead), ..listings([0, 0])[n].clone() });
+        scheduler.listed(NOW + S, ListScope::Changes, &again);
+        let now = NOW + 15 * S;
+        let mut seq = sequence(1, 0, now);
+        read(&mut scheduler, now, &mut seq, 10 * MS);
+        let writer = sent(scheduler.schedule(now + 10 * MS, &mut seq));
+        assert!(writer.0 >= 2, "{ahead} s ahead: read once more at {writer:?}");
+    }
+}
