Starts of servers are taken by the own clock, whatever wall clocks say

Change: scheduler/start_times.rs, a policy module, estimates how far the stamps' clock is ahead from what is sure: a server started before it was told and, where it is new, after the list before. What lies outside counts as started just now; at a gateway's start the newest stamp does. A stamp that changes is a start, also to an earlier one.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod outlier;
 mod prefill;
 mod slow_start;
+mod start_times;
 
 use crate::decay::{DecayingSum, FadingShare};
 use crate::fleet::*;
@@ -24,6 +25,7 @@
 use decode::*;
 use oorandom::Rand64;
 use outlier::*;
+use start_times::StartTimes;
 use std::cell::RefCell;
 use std::collections::HashMap;
 
@@ -49,6 +51,7 @@
     deployment: Deployment,
     chance: Rand64,
     fleet: Fleet,
+    start_times: StartTimes,
     sampler: RefCell<Sampler>,
     /// Fleets up to this size are looked at whole.
     bound: usize,
@@ -76,6 +79,7 @@
         Scheduler {
             chance: Rand64::new(seed.into()),
             fleet: Fleet::new(deployment.kinds.clone(), deployment.weights, RING_POINTS),
+            start_times: StartTimes::new(deployment.start_stamps),
             sampler: RefCell::new(Sampler::new(seed)),
             bound: SMALL_FLEET,
             stats,
@@ -103,8 +107,9 @@
     pub fn listed(&mut self, now: Nanos, scope: ListScope, entries: &[Listing]) {
         self.refusals = 0;
         self.surveyed = None;
+        let entries = self.start_times.on_own_clock(now, scope, entries);
         let (cold_for, chance) = (self.deployment.cold_for, &mut self.chance);
-        self.fleet.listed(scope, entries, |entry| {
+        self.fleet.listed(scope, &entries, |entry| {
             let cold_until = if entry.since > 0 { entry.since.saturating_add(cold_for) } else { 0 };
             Server::new(now, entry.clone(), cold_until, chance.rand_float(), HALF_LIFE)
         });
