Tests that fail: three crossings by which a held state outlives its time

Cause: read off platform-engine/src/client.rs and conductor/src/passage.rs. Client::exchange bounds a connection's time but not that of a write, which stands still where its server takes nothing; Client::proven waits on without a proof where every permit is taken; Passage::listed drops words owed to a server that it is told has restarted, also those for reads after that restart.

--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -647,3 +647,17 @@
     passage.told(START + 6 * S, &release, newer, Some(read.server));
     assert_eq!(passage.owed_since(&release), None);
 }
+
+#[test]
+fn a_word_that_is_owed_outlives_word_of_a_restart_before_the_read() {
+    let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
+    let read = taken(&mut passage, id);
+    // Its reader had restarted before that read, and the list tells it only now: what was read is held all the same.
+    passage.withdrawn(START + MS, id, &mut out);
+    let release = let_go(&out)[0].clone();
+    let again = Listing { since: START - S, ..entry(read.server.0, 0) };
+    passage.listed(START + 2 * MS, ListScope::Changes, &[(again, at(read.server.0 as u16))]);
+    assert_eq!(passage.releases_owed(), 1, "its reader has not answered");
+    passage.told(START + 3 * S, &release, passage.owed_since(&release), Some(read.server));
+    assert_eq!(passage.releases_owed(), 0);
+}
--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -465,3 +465,64 @@
         );
     });
 }
+
+/// How a read ends within the time, and whether its server was said to have it.
+fn ended_within(client: &Client, call: &Call, within: Duration) -> (Option<Ending>, bool) {
+    let reached = Cell::new(false);
+    let note_reached = || reached.set(true);
+    let ended = async { client.read(call, &note_reached).await.result.err() };
+    let late = async {
+        async_io::Timer::after(within).await;
+        None
+    };
+    let ended = async_io::block_on(future::or(ended, late));
+    (ended, reached.get())
+}
+
+#[test]
+fn a_request_whose_last_byte_can_not_be_written_is_broken_off_in_the_time_for_its_connection() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    rustix::net::sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
+    let to = listener.local_addr().unwrap();
+    let large = Bytes::from(vec![b' '; 16 << 20]);
+    let stuck = Call { body: large, held: true, connect_within: Duration::from_millis(400), ..call(to) };
+    // On a new connection, which its server's machine takes without anybody reading on it.
+    let new = client(4);
+    assert_eq!(ended_within(&new, &stuck, Duration::from_secs(2)), (Some(Ending::NotConnected), false));
+    // On a used one.
+    let used = client(4);
+    let (first, answered) = (call(to), async_channel::bounded::<()>(1));
+    let server = std::thread::spawn(move || {
+        let _queued = listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4096];
+        let count = stream.read(&mut request).unwrap();
+        assert!(count > 0);
+        stream.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}").unwrap();
+        let _ = answered.1.recv_blocking();
+        drop((stream, listener));
+    });
+    async_io::block_on(async {
+        assert_eq!(used.read(&first, &|| {}).await.result, Ok(0.0));
+        rest().await;
+    });
+    assert_eq!(used.open(), (1, 1));
+    let (ended, reached) = ended_within(&used, &stuck, Duration::from_secs(2));
+    assert!(ended.is_some_and(Ending::proves_unrun) && !reached, "{ended:?}, {reached}");
+    drop(answered.0);
+    server.join().unwrap();
+}
+
+#[test]
+fn while_a_state_waits_a_used_connection_that_nothing_proves_counts_as_broken_off() {
+    let server = ModelServer::start(true, Manner::Good).unwrap();
+    let client = client(1);
+    async_io::block_on(async {
+        assert!(client.read(&call(server.address), &|| {}).await.result.is_ok());
+        rest().await;
+    });
+    server.set(Manner::Silent);
+    // Its own connection takes the only permit, so none can come up as a proof.
+    let held = Call { held: true, connect_within: Duration::from_millis(400), ..call(server.address) };
+    assert_eq!(ended_within(&client, &held, Duration::from_secs(2)), (Some(Ending::Reset), false));
+}
