Writes have a bound, unproven attempts end, words owed outlive a restart

Change: Client::exchange writes within the time for the connection; past it the last byte was never written, so the attempt never ran. Client::proven ends an attempt that can't be proven while something is held.

--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -160,13 +160,9 @@
         };
         for (Listing { server, condition, since, .. }, address) in entries {
             let known = self.servers.get(server).or_else(|| before.get(server));
-            let (heard, started) = known.map_or((0, *since), |known| (known.heard, known.since));
+            let heard = known.map_or(0, |known| known.heard);
             let reached = Reached { address: *address, condition: *condition, since: *since, heard };
             self.servers.insert(*server, reached);
-            // What started anew holds nothing from before.
-            if started < *since {
-                self.releases.started_anew(*server);
-            }
         }
         self.servers.retain(|_, reached| reached.condition != Condition::Gone);
         let listings: Vec<Listing> = entries.iter().map(|(listing, _)| listing.clone()).collect();
--- a/conductor/src/releases.rs
+++ b/conductor/src/releases.rs
@@ -116,15 +116,6 @@
         }
     }
 
-    /// A server started anew: it holds nothing from before.
-    pub fn started_anew(&mut self, server: ServerId) {
-        let gone: Vec<Release> =
-            self.owed.keys().filter(|release| release.server == server).cloned().collect();
-        for release in gone {
-            self.settled(&release);
-        }
-    }
-
     /// How long a reader may take to answer before it is told again.
     pub fn answer_within(&self) -> Nanos {
         (self.within / FIRST).max(1)
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -38,6 +38,7 @@
     pub limit: Nanos,
     /// When the attempt was decided on: what passed since then is gone from its time.
     pub ordered: Nanos,
+    /// Time for its connection and for writing it.
     pub connect_within: Duration,
     /// Something is held for it meanwhile: a used connection must prove in the time for a new one that its server is
     /// there.
@@ -202,7 +203,12 @@
         stopped(may_go())?;
         let pooled = if fresh { None } else { self.0.pooled(to) };
         if let Some((connection, waited)) = pooled {
-            if connection.wire.write(&message()).await.is_ok() {
+            let written = written_within(&connection, &message(), connect_within / 2).await;
+            if written == Written::Late {
+                self.0.idle.borrow_mut().forget(|server| *server == to);
+                return Err(Ending::NotConnected);
+            }
+            if written == Written::Whole {
                 let answered = match held {
                     true => self.proven(way, answered(connection), reached).await,
                     false => answered(connection).await,
@@ -224,7 +230,10 @@
             self.0.idle.borrow_mut().spare(self.0.clock.now(), to, connection);
             return Err(ending);
         }
-        connection.wire.write(&message()).await.map_err(|_| Ending::NotConnected)?;
+        let left = connect_within.saturating_sub(Duration::from_nanos(took));
+        if written_within(&connection, &message(), left).await != Written::Whole {
+            return Err(Ending::NotConnected);
+        }
         // A server that was killed once its machine had taken the connection resets it within the time of one way
         // there and back, which the connection took too: before that nothing proves that it had the request.
         let mut answer = pin!(answered(connection));
@@ -268,8 +277,14 @@
                 self.0.idle.borrow_mut().spare(self.0.clock.now(), way.to, connection);
                 answer.await
             }
-            // No connection was free to prove it with, which says nothing of the server.
-            Err(Err(Ending::NotSent)) => answer.await,
+            // No connection was free to prove it with, which says nothing of the server. But what is held waits unproven.
+            Err(Err(Ending::NotSent)) => {
+                let late = async {
+                    Timer::after(soon).await;
+                    Err(Ending::Reset)
+                };
+                future::or(answer, late).await
+            }
             Err(Err(_)) => {
                 self.0.idle.borrow_mut().forget(|server| *server == way.to);
                 Err(Ending::Reset)
@@ -288,6 +303,30 @@
     may_go: &'a dyn Fn() -> Go,
 }
 
+/// What became of writing a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    Whole,
+    /// Its connection broke before the last byte.
+    Broke,
+    /// Its server took too little of it in the time: its last byte was never written.
+    Late,
+}
+
+async fn written_within(connection: &PooledConnection, message: &[u8], within: Duration) -> Written {
+    let written = async {
+        match connection.wire.write(message).await {
+            Ok(()) => Written::Whole,
+            Err(_) => Written::Broke,
+        }
+    };
+    let late = async {
+        Timer::after(within).await;
+        Written::Late
+    };
+    future::or(written, late).await
+}
+
 type Answered = (AnswerHead, Body, PooledConnection);
 
 fn stopped(go: Go) -> Result<(), Ending> {
