--- a/soak/shim/faults.c
+++ b/soak/shim/faults.c
@@ -30,7 +30,7 @@
     ACCEPT_FAILS,
     SOCKET_FAILS,
     CONNECT_FAILS,
-    BROKEN,            /* an established connection ends with an error */
+    BROKEN,            /* an established connection that this process made ends with an error */
     DISK_FAILS,        /* ENOSPC or EIO from writes and syncs of regular files, and a short write before it */
     HELD_UP_NANOS,     /* how long a send is held up */
     HELD_UP,           /* one send in so many is held up */
@@ -100,9 +100,17 @@
     return length;
 }
 
+/* Sockets that this process has connected: others' connections to it are theirs to break. */
+enum { DESCRIPTORS = 1 << 16 };
+static unsigned char connected[DESCRIPTORS];
+
+static void note_connected(int fd, int is) {
+    if (fd >= 0 && fd < DESCRIPTORS) connected[fd] = is;
+}
+
 /* Both ways of the connection are over, as after a time-out of its retransmissions. */
 static int broken(int fd) {
-    if (!due(BROKEN)) return 0;
+    if (fd < 0 || fd >= DESCRIPTORS || !connected[fd] || !due(BROKEN)) return 0;
     shutdown(fd, SHUT_RDWR);
     return 1;
 }
@@ -157,16 +165,21 @@
 
 int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags) {
     if (due(ACCEPT_FAILS)) FAIL_WITH(ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR, EPROTO, ENETDOWN);
-    return REAL(accept4)(fd, address, size, flags);
+    int accepted = REAL(accept4)(fd, address, size, flags);
+    note_connected(accepted, 0);
+    return accepted;
 }
 
 int socket(int domain, int type, int protocol) {
     if ((domain == AF_INET || domain == AF_INET6) && due(SOCKET_FAILS)) FAIL_WITH(ENFILE, EMFILE, ENOBUFS, ENOMEM);
-    return REAL(socket)(domain, type, protocol);
+    int made = REAL(socket)(domain, type, protocol);
+    note_connected(made, 0);
+    return made;
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     if (words && is_inet(fd) && due(CONNECT_FAILS)) FAIL_WITH(EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR, EAGAIN);
+    note_connected(fd, 1);
     return REAL(connect)(fd, address, size);
 }
 
