--- a/soak/shim/faults.c
+++ b/soak/shim/faults.c
@@ -115,6 +115,16 @@
     return 1;
 }
 
+/* Once in a second at the most: the terms name one delay, not one after the other. */
+static void hold_up(void) {
+    static time_t last;
+    struct timespec now, held = {words[HELD_UP_NANOS] / 1000000000, words[HELD_UP_NANOS] % 1000000000};
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    if (now.tv_sec < last + 2) return;
+    last = now.tv_sec;
+    nanosleep(&held, 0);
+}
+
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     if (words && length) {
         if (due(INTERRUPTED)) FAIL_WITH(EINTR);
@@ -129,10 +139,7 @@
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     if (words && length && is_inet(fd)) {
-        if (due(HELD_UP)) {
-            struct timespec held = {words[HELD_UP_NANOS] / 1000000000, words[HELD_UP_NANOS] % 1000000000};
-            nanosleep(&held, 0);
-        }
+        if (due(HELD_UP)) hold_up();
         if (due(INTERRUPTED)) FAIL_WITH(EINTR);
         if (due(NO_MEMORY)) FAIL_WITH(ENOMEM, ENOBUFS);
         if (broken(fd)) FAIL_WITH(ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE);
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -121,6 +121,7 @@
     watches_silent: BTreeMap<usize, Vec<Time>>,
     reloads: BTreeMap<usize, Vec<Time>>,
     slow: BTreeMap<usize, Vec<(Time, Duration)>>,
+    breaks: BTreeMap<usize, Vec<(Time, bool)>>,
     started: Vec<(usize, Time)>,
     lags: Vec<(Time, Duration)>,
     end: Time,
@@ -205,6 +206,7 @@
             }
             Event::WatchesSilent { gateway } => run.watches_silent.entry(gateway).or_default().push(at),
             Event::AgentSlow { gateway, slow } => run.slow.entry(gateway).or_default().push((at, slow)),
+            Event::Breaks { gateway, breaks } => run.breaks.entry(gateway).or_default().push((at, breaks)),
             Event::Spawned { process } => run.lives.entry(process).or_default().spawned = at,
             Event::Ready { process, took } => run.lives.entry(process).or_default().ready = Some(took),
             Event::NotReady { process } => {
@@ -312,7 +314,7 @@
     fn cut_short(&self, id: u64, request: &Request, at: Time, out: &mut Vec<Violation>) {
         let Some(to) = request.to else { return };
         let last = request.exchanges.iter().filter_map(|exchange| self.run.arrivals.get(exchange));
-        let last = last.filter(|arrival| arrival.role == Role::Decode).last();
+        let last = last.filter(|arrival| arrival.role == Role::Decode).next_back();
         let ended = last.and_then(|arrival| arrival.ended);
         let life = self.life(to);
         let stop = life.and_then(|life| life.told_to_stop);
@@ -326,7 +328,9 @@
             // The server wrote to the end, or the gateway gave up a stream that was still coming.
             Some((_, Outcome::Answered)) => true,
             Some((gave_up, Outcome::GivenUp)) => {
-                gave_up + STREAM_END_WITHIN >= at && !self.was_silent(request, at)
+                gave_up + STREAM_END_WITHIN >= at
+                    && !self.was_silent(request, at)
+                    && !self.connections_broke(to.gateway, gave_up)
             }
             _ => false,
         };
@@ -342,6 +346,16 @@
         request.answer_began.is_some_and(|began| at.saturating_sub(began) >= Duration::from_millis(4_500))
     }
 
+    /// Whether connections that the gateway had made were being broken under it just then: its server sees that as an end
+    /// by the gateway.
+    fn connections_broke(&self, gateway: usize, at: Time) -> bool {
+        let told = self.run.breaks.get(&gateway).into_iter().flatten();
+        let before: Vec<bool> =
+            told.clone().filter(|(from, _)| *from <= at).map(|(_, breaks)| *breaks).collect();
+        let just_ended = told.clone().any(|(from, breaks)| !breaks && *from <= at && at <= *from + WAY);
+        before.last() == Some(&true) || just_ended
+    }
+
     /// Rules 1 and 2 by what arrived at servers.
     fn attempts(&self, id: u64, request: &Request, out: &mut Vec<Violation>) {
         let arrivals: Vec<&Arrival> =
@@ -495,7 +509,7 @@
     fn process_at(&self, gateway: usize, at: Time) -> Option<Process> {
         let lives =
             self.run.lives.iter().filter(|(process, life)| process.gateway == gateway && life.spawned <= at);
-        lives.map(|(process, _)| *process).last()
+        lives.map(|(process, _)| *process).next_back()
     }
 
     /// Since when the process that sent something counts as told that its server takes nothing new.
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -145,6 +145,11 @@
         gateway: usize,
         slow: Duration,
     },
+    /// Connections that a gateway has made break under it from now on, or do so no more.
+    Breaks {
+        gateway: usize,
+        breaks: bool,
+    },
     /// Ways to these servers are cut, or open again.
     Cut {
         servers: Vec<usize>,
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -139,7 +139,11 @@
                 self.suffer(gateway, Fault::AcceptFails, 1 + chance.below(8), lasts / 8).await
             }
             Trouble::NoMemory => self.suffer(gateway, Fault::NoMemory, 5 + chance.below(195), lasts).await,
-            Trouble::Broken => self.suffer(gateway, Fault::Broken, 30 + chance.below(300), lasts).await,
+            Trouble::Broken => {
+                world.record.write(Event::Breaks { gateway: at, breaks: true });
+                self.suffer(gateway, Fault::Broken, 30 + chance.below(300), lasts).await;
+                world.record.write(Event::Breaks { gateway: at, breaks: false });
+            }
             Trouble::HeldUp => {
                 let _ = gateway.faults.set(Fault::HeldUpFor, HELD_UP.as_nanos() as i64);
                 self.suffer(gateway, Fault::HeldUp, 20 + chance.below(200), lasts).await;
