Tests that fail: slow discovery, a log nobody reads, a disk that is full for a while

Cause: read off platform/src/discovery.rs (whole gives each call AT_ONCE), cli/src/main.rs (log lines are written to standard error by the only thread) and Gateway::keep_list (stored once, a failure is a line of the log).

--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -3,6 +3,7 @@
 use futures_lite::future;
 use petrelshore_rehearsal::client::{Question, Seen};
 use petrelshore_rehearsal::grpc_client;
+use petrelshore_soak::shim::{Fault, Faults, Library};
 use petrelshore_stand_in::record::FinalSeen;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -258,3 +259,29 @@
     assert!(code == Some(1) && said.lines().count() == 1 && said.contains("/nowhere.ncl"), "{said}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_list_that_could_not_be_kept_is_kept_once_the_disk_takes_it() {
+    let folder = folder("full-disk");
+    let library = Library::build(&folder).unwrap();
+    let faults = Faults::new(&library, folder.join("words"), 1).unwrap();
+    write_list(&folder, &[("one", SocketAddr::from(([127, 0, 0, 1], 9)))]);
+    let settings = write_settings(&folder, "1s");
+    faults.set(Fault::DiskFails, 1).unwrap();
+    let mut command = petrelshore(&["serve", &settings]);
+    faults.preload(&mut command);
+    let mut child = command.stderr(Stdio::null()).spawn().unwrap();
+    let mut ready = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut ready).unwrap();
+    assert!(!folder.join("last.json").exists(), "no write has gone well yet");
+    faults.set(Fault::DiskFails, 0).unwrap();
+    let until = Instant::now() + Duration::from_secs(10);
+    while !folder.join("last.json").exists() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let kept = std::fs::read_to_string(folder.join("last.json"));
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(kept.is_ok_and(|text| text.contains("one")), "what was taken on is kept");
+}
--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -7,6 +7,8 @@
 use petrelshore_stand_in::platform::{Agent, Manner, ModelServer, entry};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// A gateway before a reader and a writer that the test holds.
@@ -302,6 +304,28 @@
     assert!((2..=8).contains(&calls), "{calls} calls in 2 s");
 }
 
+#[test]
+fn an_agent_that_takes_its_time_for_each_answer_is_followed_all_the_same() {
+    let (_gateway, agent, servers) = before_agent("slow-agent", |text| text);
+    let (followed, until) = (Arc::new(AtomicBool::new(false)), Instant::now() + Duration::from_secs(6));
+    while !followed.load(Ordering::SeqCst) {
+        assert!(Instant::now() < until, "a list that each call has in 0.9 s was not had in 6 s");
+        let Some(mut asks) = agent.accept_within(Duration::from_millis(20)) else { continue };
+        let (followed, body) = (followed.clone(), list(7, "true", servers, "active"));
+        std::thread::spawn(move || {
+            if asks.request().lines().next() != Some(CALL) {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(900));
+            // The gateway may have given the call up meanwhile.
+            let _ = asks.socket().write_all(whole(&body).as_bytes());
+            if asks.request().contains("since=7&") {
+                followed.store(true, Ordering::SeqCst);
+            }
+        });
+    }
+}
+
 /// Nothing but words to let go comes to a held server, on new connections or on one that it has, within a time in which
 /// anything that was due would have come.
 fn nothing_more(server: &Held, kept: Option<&mut HeldConnection>) {
--- a/cli/tests/system_calls.rs
+++ b/cli/tests/system_calls.rs
@@ -109,3 +109,14 @@
         std::thread::sleep(Duration::from_millis(10));
     }
 }
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let chatty = |file: &PathBuf| {
+        let mut command = command(file);
+        command.args(["--log-filter", "trace"]);
+        command
+    };
+    let world = World::start_as("unread-log", chatty);
+    assert_eq!(served(world.at, 300), 300);
+}
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -313,8 +313,8 @@
     /// own connection broke.
     fn cut_short(&self, id: u64, request: &Request, at: Time, out: &mut Vec<Violation>) {
         let Some(to) = request.to else { return };
-        let last = request.exchanges.iter().filter_map(|exchange| self.run.arrivals.get(exchange));
-        let last = last.filter(|arrival| arrival.role == Role::Decode).next_back();
+        let mut arrivals = request.exchanges.iter().filter_map(|exchange| self.run.arrivals.get(exchange));
+        let last = arrivals.rfind(|arrival| arrival.role == Role::Decode);
         let ended = last.and_then(|arrival| arrival.ended);
         let life = self.life(to);
         let stop = life.and_then(|life| life.told_to_stop);
