--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `petrelshore` command: one gateway, and the means to rehearse with it.
 
+mod logs;
 mod operator;
 mod platform;
 mod serve;
@@ -135,7 +136,7 @@
     };
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(logs::writer())
         // A line that can't be written is dropped. It must not be told on standard error either: that would panic.
         .log_internal_errors(false)
         .with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,10 +17,9 @@
 use petrelshore_inventory::{Change, Doubt, Format, Guard, Membership, Problem, kept, read_list};
 use petrelshore_settings::Settings;
 use serde_json::value::RawValue;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{debug, info, warn};
@@ -73,6 +72,8 @@
     addresses: RefCell<BTreeMap<ServerId, SocketAddr>>,
     tickets: RefCell<HashMap<SeqId, Ticket>>,
     timers: Timers,
+    /// A list that could not be kept is being stored again.
+    storing: Cell<bool>,
     /// Told when a sequence has left.
     emptied: Event,
     /// Told when nothing further is taken.
@@ -109,6 +110,7 @@
             addresses: RefCell::default(),
             tickets: RefCell::default(),
             timers: Timers::default(),
+            storing: Cell::new(false),
             emptied: Event::new(),
             stopping: Event::new(),
             settings,
@@ -159,7 +161,7 @@
         believed.map_err(ReloadError::Doubted)?;
         let change = inner.membership.borrow_mut().replace(inner.clock.now(), list);
         inner.listed(change);
-        inner.keep_list(&inner.settings.kept);
+        inner.keep_list();
         info!(servers = count, "took the list of model servers");
         Ok(count)
     }
@@ -424,11 +426,33 @@
         }
     }
 
-    fn keep_list(&self, file: &Path) {
-        let membership = self.membership.borrow();
-        if let Err(error) = kept::store(file, membership.list(), membership.since()) {
+    /// Keeps the list for a later run, again and again where its disk does not take it.
+    fn keep_list(self: &Rc<Self>) {
+        if self.store_list() || self.storing.replace(true) {
+            return;
+        }
+        let inner = self.clone();
+        self.spawner.run(async move {
+            let mut failures = 1;
+            loop {
+                Timer::after(kept::store_again_after(failures)).await;
+                if inner.store_list() {
+                    break;
+                }
+                failures += 1;
+            }
+            inner.storing.set(false);
+        });
+    }
+
+    /// Stores the list as it is now; whether that went well.
+    fn store_list(&self) -> bool {
+        let (membership, file) = (self.membership.borrow(), &self.settings.kept);
+        let stored = kept::store(file, membership.list(), membership.since());
+        if let Err(error) = &stored {
             warn!(%error, file = %file.display(), "the list could not be kept for a later run");
         }
+        stored.is_ok()
     }
 
     /// Breaks an attempt off by closing its connection.
--- a/inventory/src/kept.rs
+++ b/inventory/src/kept.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
+use std::time::Duration;
 
 /// When each server is known to have started.
 pub type Starts = BTreeMap<ServerId, Nanos>;
@@ -22,6 +23,8 @@
 }
 
 const VERSION: u32 = 1;
+const AGAIN_FIRST: Duration = Duration::from_millis(100);
+const AGAIN_LONGEST: Duration = Duration::from_secs(5);
 
 pub fn encode(list: &List, since: &Starts) -> Result<String, String> {
     let since = since.iter().map(|(id, at)| (id.0, *at)).collect();
@@ -44,6 +47,12 @@
     Ok((kept.list, kept.since.into_iter().map(|(id, at)| (ServerId(id), at)).collect()))
 }
 
+/// After so many failures in a row the list is stored again after this pause: the disk may be full for long, and a kill
+/// may come at any time.
+pub fn store_again_after(failures: u32) -> Duration {
+    (AGAIN_FIRST * 2_u32.saturating_pow(failures.saturating_sub(1).min(16))).min(AGAIN_LONGEST)
+}
+
 /// Puts the list where a later run finds it, durable before it replaces the old one.
 pub fn store(file: &Path, list: &List, since: &Starts) -> std::io::Result<()> {
     let text = encode(list, since).map_err(std::io::Error::other)?;
