--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -129,7 +129,7 @@
 
     fn first_list(&self) -> Result<(), ReloadError> {
         let inner = &self.0;
-        match kept::load(&inner.settings.kept) {
+        match kept::load(&inner.settings.kept, inner.clock.now()) {
             Ok(Some((list, since))) => {
                 info!(servers = list.servers.len(), "starting from the list of an earlier run");
                 let change = inner.membership.borrow_mut().remember(list, since);
@@ -448,7 +448,7 @@
     /// Stores the list as it is now; whether that went well.
     fn store_list(&self) -> bool {
         let (membership, file) = (self.membership.borrow(), &self.settings.kept);
-        let stored = kept::store(file, membership.list(), membership.since());
+        let stored = kept::store(file, membership.list(), membership.since(), self.clock.now());
         if let Err(error) = &stored {
             warn!(%error, file = %file.display(), "the list could not be kept for a later run");
         }
--- a/inventory/src/kept.rs
+++ b/inventory/src/kept.rs
@@ -26,7 +26,7 @@
 const AGAIN_FIRST: Duration = Duration::from_millis(100);
 const AGAIN_LONGEST: Duration = Duration::from_secs(5);
 
-pub fn encode(list: &List, since: &Starts) -> Result<String, String> {
+pub fn encode(list: &List, since: &Starts, _now: Nanos) -> Result<String, String> {
     let since = since.iter().map(|(id, at)| (id.0, *at)).collect();
     let kept = Kept { version: VERSION, list: list.clone(), since };
     let text = serde_json::to_string(&kept).map_err(|error| error.to_string())?;
@@ -34,7 +34,7 @@
     Ok(format!("{text}\n{mark:016x}\n"))
 }
 
-pub fn decode(text: &str) -> Result<(List, Starts), String> {
+pub fn decode(text: &str, _now: Nanos) -> Result<(List, Starts), String> {
     let (body, mark) = text.split_once('\n').ok_or("it is cut short")?;
     let mark = u64::from_str_radix(mark.trim_end(), 16).map_err(|_| "its checksum is malformed")?;
     if mark != stable_id(body) {
@@ -54,8 +54,8 @@
 }
 
 /// Puts the list where a later run finds it, durable before it replaces the old one.
-pub fn store(file: &Path, list: &List, since: &Starts) -> std::io::Result<()> {
-    let text = encode(list, since).map_err(std::io::Error::other)?;
+pub fn store(file: &Path, list: &List, since: &Starts, now: Nanos) -> std::io::Result<()> {
+    let text = encode(list, since, now).map_err(std::io::Error::other)?;
     let mut beside = file.as_os_str().to_owned();
     beside.push(".new");
     let mut written = File::create(&beside)?;
@@ -67,9 +67,9 @@
 }
 
 /// The list of an earlier run; none where there was no run.
-pub fn load(file: &Path) -> Result<Option<(List, Starts)>, String> {
+pub fn load(file: &Path, now: Nanos) -> Result<Option<(List, Starts)>, String> {
     match std::fs::read_to_string(file) {
-        Ok(text) => decode(&text).map(Some).map_err(|what| format!("{}: {what}", file.display())),
+        Ok(text) => decode(&text, now).map(Some).map_err(|what| format!("{}: {what}", file.display())),
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(format!("{}: {error}", file.display())),
     }
--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -526,3 +526,13 @@
     let held = Call { held: true, connect_within: Duration::from_millis(400), ..call(server.address) };
     assert_eq!(ended_within(&client, &held, Duration::from_secs(2)), (Some(Ending::Reset), false));
 }
+
+#[test]
+fn while_a_state_waits_a_new_connection_that_falls_silent_proves_nothing() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    // One connection comes up and is taken by nobody; no other does.
+    rustix::net::listen(&listener, 0).unwrap();
+    let to = listener.local_addr().unwrap();
+    let held = Call { held: true, connect_within: Duration::from_millis(400), ..call(to) };
+    assert_eq!(ended_within(&client(4), &held, Duration::from_secs(2)), (Some(Ending::Reset), false));
+}
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -134,7 +134,8 @@
             kept.reused = true;
             Some(kept)
         }
-        Seen::Nothing { reused: true } => connect(world).await,
+        // One that was sent on may have run: only its gateway knew.
+        Seen::Nothing { reused: true } if !world.was_sent_on(request.id) => connect(world).await,
         _ => None,
     }
 }
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -325,12 +325,16 @@
                 || (early && life.is_some_and(|life| life.killed.is_some_and(|killed| at >= killed)))
         });
         let cut = match ended {
+            // The end may have been on its way as its connection was broken.
+            Some((ended, Outcome::Answered | Outcome::GivenUp))
+                if self.connections_broke(to.gateway, ended) =>
+            {
+                false
+            }
             // The server wrote to the end, or the gateway gave up a stream that was still coming.
             Some((_, Outcome::Answered)) => true,
             Some((gave_up, Outcome::GivenUp)) => {
-                gave_up + STREAM_END_WITHIN >= at
-                    && !self.was_silent(request, at)
-                    && !self.connections_broke(to.gateway, gave_up)
+                gave_up + STREAM_END_WITHIN >= at && !self.was_silent(request, at)
             }
             _ => false,
         };
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -203,6 +203,7 @@
             say(connection, FAILED).await?;
             continue;
         };
+        world.note_sent_on(request);
         let exchange = Exchange(world.exchange());
         world.record.write(Event::Arrived {
             exchange,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -99,6 +99,8 @@
     pub open: RefCell<BTreeMap<usize, usize>>,
     pub over: Cell<bool>,
     next_exchange: Cell<u64>,
+    /// Requests that a server has read.
+    sent_on: RefCell<BTreeSet<u64>>,
 }
 
 impl World {
@@ -137,6 +139,7 @@
             open: RefCell::default(),
             over: Cell::new(false),
             next_exchange: Cell::new(0),
+            sent_on: RefCell::default(),
         })
     }
 
@@ -178,6 +181,15 @@
         self.next_exchange.get()
     }
 
+    /// A server has read a request.
+    pub fn note_sent_on(&self, request: u64) {
+        self.sent_on.borrow_mut().insert(request);
+    }
+
+    pub fn was_sent_on(&self, request: u64) -> bool {
+        self.sent_on.borrow().contains(&request)
+    }
+
     pub fn hold(&self, request: u64, server: usize) {
         if self.held.borrow_mut().entry(request).or_default().insert(server) {
             self.record.write(Event::Held { request, server });
