Held states wait for a proof on new connections too; starts are kept by age

Change: while a state is held, an attempt on a new connection counts as arrived only once its server answers or a second connection comes up after it, as on used ones. Kept starts are taken as old as they were when they were kept; a start that an answer tells outside the time since the last answer is one just now.

--- a/inventory/src/kept.rs
+++ b/inventory/src/kept.rs
@@ -20,21 +20,27 @@
     version: u32,
     list: List,
     since: BTreeMap<u64, Nanos>,
+    /// By the same clock. Files of before do not tell it.
+    #[serde(default)]
+    kept_at: Option<Nanos>,
 }
 
 const VERSION: u32 = 1;
 const AGAIN_FIRST: Duration = Duration::from_millis(100);
 const AGAIN_LONGEST: Duration = Duration::from_secs(5);
 
-pub fn encode(list: &List, since: &Starts, _now: Nanos) -> Result<String, String> {
+/// The text of a list that is kept now.
+pub fn encode(list: &List, since: &Starts, now: Nanos) -> Result<String, String> {
     let since = since.iter().map(|(id, at)| (id.0, *at)).collect();
-    let kept = Kept { version: VERSION, list: list.clone(), since };
+    let kept = Kept { version: VERSION, list: list.clone(), since, kept_at: Some(now) };
     let text = serde_json::to_string(&kept).map_err(|error| error.to_string())?;
     let mark = stable_id(&text);
     Ok(format!("{text}\n{mark:016x}\n"))
 }
 
-pub fn decode(text: &str, _now: Nanos) -> Result<(List, Starts), String> {
+/// The list of a text, with starts by the clock of now. The wall clock may have been stepped since the list was kept, so
+/// servers count as no older than they were then.
+pub fn decode(text: &str, now: Nanos) -> Result<(List, Starts), String> {
     let (body, mark) = text.split_once('\n').ok_or("it is cut short")?;
     let mark = u64::from_str_radix(mark.trim_end(), 16).map_err(|_| "its checksum is malformed")?;
     if mark != stable_id(body) {
@@ -44,7 +50,12 @@
     if kept.version != VERSION {
         return Err(format!("version {} is not known here", kept.version));
     }
-    Ok((kept.list, kept.since.into_iter().map(|(id, at)| (ServerId(id), at)).collect()))
+    let by_now = |at: Nanos| match kept.kept_at {
+        _ if at == 0 => 0,
+        Some(kept_at) => now.saturating_sub(kept_at.saturating_sub(at)),
+        None => at.min(now),
+    };
+    Ok((kept.list, kept.since.into_iter().map(|(id, at)| (ServerId(id), by_now(at))).collect()))
 }
 
 /// After so many failures in a row the list is stored again after this pause: the disk may be full for long, and a kill
--- a/inventory/src/membership.rs
+++ b/inventory/src/membership.rs
@@ -19,6 +19,15 @@
 /// Starts told by answers may differ by so much without meaning another start: clocks and rounding.
 const SAME_START: Nanos = 2_000_000_000;
 
+/// A start that a server told of itself.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    /// On the server's clock.
+    start: Nanos,
+    /// When it was told last, on the gateway's.
+    at: Nanos,
+}
+
 #[derive(Debug)]
 pub struct Membership {
     kinds: Vec<String>,
@@ -28,7 +37,7 @@
     /// When each server is known to have started, on the gateway's clock; zero: long ago.
     since: BTreeMap<ServerId, Nanos>,
     /// Starts as the servers themselves told them, on their clocks.
-    told: BTreeMap<ServerId, Nanos>,
+    told: BTreeMap<ServerId, Told>,
 }
 
 impl Membership {
@@ -71,18 +80,18 @@
         self.started_anew(now, id)
     }
 
-    /// An answer told when its server started, on that server's clock.
+    /// An answer told when its server started, on that server's clock. That one may be wrong, and be stepped: another
+    /// start came after the last answer that told the one before, and is taken for one just now where its clock says
+    /// otherwise.
     pub fn told_start(&mut self, now: Nanos, id: ServerId, start: Nanos) -> Option<Change> {
-        let before = self.told.insert(id, start);
-        match before {
-            Some(before) if start > before.saturating_add(SAME_START) => {
-                let warm_since = now.min(start);
-                // Already counted from its absence on, where that is later.
-                (self.since.get(&id).copied().unwrap_or(0) < warm_since).then_some(())?;
-                self.started_anew(warm_since, id)
-            }
-            _ => None,
+        let before = self.told.insert(id, Told { start, at: now })?;
+        if start.abs_diff(before.start) <= SAME_START {
+            return None;
         }
+        let started = if (before.at..=now).contains(&start) { start } else { now };
+        // Already counted from its absence on, where that is later.
+        (self.since.get(&id).copied().unwrap_or(0) < started).then_some(())?;
+        self.started_anew(started, id)
     }
 
     pub fn list(&self) -> &List {
--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -40,8 +40,8 @@
     pub ordered: Nanos,
     /// Time for its connection and for writing it.
     pub connect_within: Duration,
-    /// Something is held for it meanwhile: a used connection must prove in the time for a new one that its server is
-    /// there.
+    /// Something is held for it meanwhile: its connection, used or new, must prove in the time for a new one that its
+    /// server is there.
     pub held: bool,
     /// Never on a connection that was used before.
     pub fresh: bool,
@@ -234,6 +234,10 @@
         if written_within(&connection, &message(), left).await != Written::Whole {
             return Err(Ending::NotConnected);
         }
+        if held {
+            // It may have fallen silent right after it came up.
+            return self.proven(way, answered(connection), reached).await;
+        }
         // A server that was killed once its machine had taken the connection resets it within the time of one way
         // there and back, which the connection took too: before that nothing proves that it had the request.
         let mut answer = pin!(answered(connection));
@@ -254,8 +258,8 @@
         }
     }
 
-    /// Waits for an answer on a used connection, which may lead to a machine that has gone silent: what is written to
-    /// it then never arrives, and nothing tells. So where no answer comes soon, another connection has to come up as
+    /// Waits for an answer on a connection that may lead to a machine that has gone silent: what is written to it then
+    /// never arrives, and nothing tells. So where no answer comes soon, another connection has to come up as
     /// a proof that the machine is there; where none does, the request counts as broken off. A slow server pays for it
     /// with one handshake, and the connection serves the next exchange.
     async fn proven(
