--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -149,7 +149,7 @@
     };
     future::or(empty, late).await;
     drop((front, following));
-    info!(counts = ?service.counts(), "stopped");
+    info!(counts = ?service.counts(), breaches = ?service.breaches(), "stopped");
     Ok(())
 }
 
@@ -175,6 +175,7 @@
         Timer::after(LOGGED).await;
         let (open, idle, owed) = service.open();
         let (in_hand, clients) = (service.in_hand(), clients.connections());
-        info!(in_hand, clients, servers = open, idle, owed, counts = ?service.counts(), "holding");
+        let (counts, breaches) = (service.counts(), service.breaches());
+        info!(in_hand, clients, servers = open, idle, owed, ?counts, ?breaches, "holding");
     }
 }
--- /dev/null
+++ b/conductor/src/audit.rs
@@ -0,0 +1,85 @@
+//! Holds at run time what was decided against the rules, and counts what breaks one. A count above zero is a fault of
+//! this program, whatever the traffic: it is logged as it happens, and told with the other counts.
+
+use petrelshore::interface::*;
+use petrelshore::proof::{first_that_ran, maybe_ran};
+use std::collections::BTreeMap;
+
+/// A final answer that comes this long after its client's time is lost.
+const ANSWER_SLACK: Nanos = 500_000_000;
+/// What is held may be so late: word of it needs a turn of the loop.
+const RELEASE_SLACK: Nanos = 300_000_000;
+
+/// What was done against a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Breach {
+    /// An attempt was sent for a sequence that had ended.
+    SentAfterEnd,
+    /// An attempt was sent while another one was out.
+    SecondCopy,
+    /// What may run once was sent again though an earlier attempt may have run, or a repeat was sent past its window.
+    RepeatedEffect,
+    /// What may run once was called harmless to repeat though an attempt may have run.
+    FalseRejection,
+    /// A state was let go of after its time.
+    HeldTooLong,
+    /// A final answer came after its client's time.
+    LateAnswer,
+}
+
+/// Breaches so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Audit {
+    counts: BTreeMap<Breach, u64>,
+}
+
+impl Audit {
+    /// The last attempt of a sequence is about to be sent.
+    pub fn attempt(&mut self, now: Nanos, seq: &Sequence, effect: Effect) {
+        let Some((last, earlier)) = seq.attempts.split_last() else { return };
+        let open = earlier.iter().any(|attempt| !matches!(attempt.status, Status::Closed(_)));
+        self.holds(!seq.ended, Breach::SentAfterEnd);
+        self.holds(!open, Breach::SecondCopy);
+        let may_repeat = match (first_that_ran(earlier), effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some(first), Effect::Tokened { window, .. }) => now < first.sent.saturating_add(window),
+            (Some(_), Effect::OnceOnly) => last.step == Step::Read,
+        };
+        self.holds(may_repeat, Breach::RepeatedEffect);
+    }
+
+    /// Its client is told that trying again is harmless.
+    pub fn rejection(&mut self, now: Nanos, seq: &Sequence, effect: Effect) {
+        let harmless = match (maybe_ran(seq), effect) {
+            (None, _) | (_, Effect::Repeatable) => true,
+            (Some(first), Effect::Tokened { window, .. }) => now < first.sent.saturating_add(window),
+            (Some(_), Effect::OnceOnly) => false,
+        };
+        self.holds(harmless, Breach::FalseRejection);
+    }
+
+    /// A final answer is given before any token has come.
+    pub fn final_answer(&mut self, now: Nanos, seq: &Sequence) {
+        let streamed = seq.attempts.iter().any(|attempt| attempt.status == Status::Streaming);
+        let in_time = now <= seq.abandon_at.saturating_add(ANSWER_SLACK);
+        self.holds(streamed || in_time, Breach::LateAnswer);
+    }
+
+    /// What is held for a sequence is let go of, with no attempt out.
+    pub fn release(&mut self, now: Nanos, held_since: Option<Nanos>, release_within: Nanos) {
+        let in_time = held_since
+            .is_none_or(|since| now <= since.saturating_add(release_within).saturating_add(RELEASE_SLACK));
+        self.holds(in_time, Breach::HeldTooLong);
+    }
+
+    /// How often each rule was broken; empty where none was.
+    pub fn breaches(&self) -> &BTreeMap<Breach, u64> {
+        &self.counts
+    }
+
+    fn holds(&mut self, holds: bool, breach: Breach) {
+        if !holds {
+            *self.counts.entry(breach).or_insert(0) += 1;
+        }
+    }
+}
--- a/conductor/src/conductor.rs
+++ b/conductor/src/conductor.rs
@@ -1,12 +1,13 @@
 //! The sequences in hand: events in, actions out.
 
+use crate::audit::{Audit, Breach};
 use crate::continuation::{BrokenStream, go_on};
 use crate::pace;
 use crate::policy::{Chooser, Policy};
 use crate::proof::Ending;
 use petrelshore::interface::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Whether what a writer says goes to the client at once, or when it is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -165,6 +166,8 @@
     timers: BTreeSet<(Nanos, SeqId)>,
     draining: bool,
     counts: Counts,
+    release_within: Nanos,
+    audit: Audit,
 }
 
 impl Conductor {
@@ -176,6 +179,8 @@
     pub fn with(now: Nanos, deployment: Deployment, seed: u64, chooser: Chooser) -> Self {
         Conductor {
             types: deployment.types.clone(),
+            release_within: deployment.release_within,
+            audit: Audit::default(),
             scheduler: Policy::new(now, deployment, seed, chooser),
             held: HashMap::new(),
             timers: BTreeSet::new(),
@@ -423,12 +428,19 @@
         self.counts
     }
 
+    /// What broke a rule so far, as counted at run time.
+    pub fn breaches(&self) -> &BTreeMap<Breach, u64> {
+        self.audit.breaches()
+    }
+
     /// Carries out what the decisions answer for a sequence without an attempt out.
     fn schedule(&mut self, now: Nanos, id: SeqId, why: Reason, out: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let send_by = self.scheduler.send_by(&held.seq).unwrap_or(NEVER);
+        let (held_since, effect) = (held.seq.held_since, self.types[held.seq.traffic.0].effect);
         let release = match self.scheduler.schedule(now, &mut held.seq) {
             Schedule::Send(server) => {
+                self.audit.attempt(now, &held.seq, effect);
                 let limit = self.scheduler.wait(now, &held.seq).max(1);
                 self.counts.attempts += 1;
                 let held_for = self.scheduler.held_until(&held.seq).map(|until| until.saturating_sub(now));
@@ -456,18 +468,22 @@
             }
             Schedule::Rejected { retry_after, release } => {
                 self.counts.rejected += 1;
+                self.audit.rejection(now, &held.seq, effect);
+                self.audit.final_answer(now, &held.seq);
                 let reason = given_up(now, &held.seq, why);
                 out.push(Action::Reject { id, retry_after, reason });
                 release
             }
             Schedule::Aborted { release } => {
                 self.counts.aborted += 1;
+                self.audit.final_answer(now, &held.seq);
                 let reason = given_up(now, &held.seq, why);
                 out.push(Action::Abort { id, reason });
                 release
             }
         };
         if release {
+            self.audit.release(now, held_since, self.release_within);
             out.push(Action::Release { id });
         }
         self.disarm(id);
--- a/conductor/src/lib.rs
+++ b/conductor/src/lib.rs
@@ -13,9 +13,11 @@
 //! ([`withdrawals`]), and what one that got no answer may do by itself ([`answers`]). Of connections that carry many
 //! calls it is decided how their peers may behave ([`manners`]) and which stream is at fault when all stand still
 //! ([`windows`]).
-//! [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
+//! [`permission`] says in the last instant whether an attempt may still begin, and [`audit`] counts what breaks a rule all the
+//! same. [`terms`] says whether settings can keep the rules at all; [`policy`] has a baseline to compare with.
 
 pub mod answers;
+pub mod audit;
 pub mod conductor;
 pub mod connection_table;
 pub mod connections;
@@ -29,6 +31,7 @@
 pub mod manners;
 pub mod pace;
 pub mod passage;
+pub mod permission;
 pub mod policy;
 pub mod proof;
 pub mod releases;
--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -5,9 +5,11 @@
 //! clock. `M` is a client's request; it is handed on unread, and dropped with its first event. A shell tells what
 //! happened on its sockets and carries out [`Order`]s.
 
+use crate::audit::Breach;
 use crate::leases::Leases;
 use crate::leaving::{Arrivals, Leaving, leaving};
 use crate::limits::{Room, values};
+use crate::permission::{Denial, Due, ListedNow, may_begin};
 use crate::proof::Ending;
 use crate::releases::{PLACES, Release, Releases, State, Word};
 use crate::{Action, Conductor, Counts, Dispatch, NewSequence, Reason};
@@ -132,13 +134,22 @@
         self.conductor.drain();
     }
 
-    /// Whether an attempt may still begin that was ordered a while ago, to that address: not once its server is known to
-    /// drain, to have gone, moved or started anew since, or its time is over.
-    pub fn may_begin(&self, now: Nanos, dispatch: &Dispatch, to: SocketAddr, since: Option<Nanos>) -> bool {
-        let listed = |server: &&Reached| {
-            server.address == to && server.condition == Condition::Ready && Some(server.since) == since
-        };
-        now < dispatch.send_by && self.servers.get(&dispatch.server).filter(listed).is_some()
+    /// Whether an attempt may still begin whose connection has come up.
+    pub fn may_begin(&self, now: Nanos, due: &Due) -> Result<(), Denial> {
+        let ticket = self.tickets.get(&due.dispatch.id);
+        let current =
+            ticket.is_some_and(|ticket| !ticket.answered && ticket.out == Some(due.dispatch.attempt));
+        let listed = self.servers.get(&due.dispatch.server).map(|server| ListedNow {
+            address: server.address,
+            condition: server.condition,
+            start: server.since,
+        });
+        may_begin(now, due, current, listed)
+    }
+
+    /// What broke a rule so far, as counted at run time.
+    pub fn breaches(&self) -> &BTreeMap<Breach, u64> {
+        self.conductor.breaches()
     }
 
     /// When a server last started, as far as the list tells.
--- a/conductor/tests/common/mod.rs
+++ b/conductor/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A small deployment of readers and writers.
+#![allow(dead_code)] // Each test file uses its own part.
 
 use petrelshore::interface::*;
 
--- a/conductor/tests/passed.rs
+++ b/conductor/tests/passed.rs
@@ -6,6 +6,7 @@
 use petrelshore::interface::*;
 use petrelshore_conductor::connections::Connections;
 use petrelshore_conductor::passage::{Final, Order, Passage, Refusal};
+use petrelshore_conductor::permission::{Denial, Due};
 use petrelshore_conductor::proof::Ending;
 use petrelshore_conductor::releases::Release;
 use petrelshore_conductor::{Action, Conductor, Dispatch, NewSequence, Reason, Relay};
@@ -59,6 +60,30 @@
     sent.unwrap_or_else(|| panic!("nothing is sent: {out:?}"))
 }
 
+/// An attempt whose connection has come up there.
+fn due<'a>(passage: &Passage<&'static str>, dispatch: &'a Dispatch, to: SocketAddr) -> Due<'a> {
+    Due { dispatch, ordered: START, to, server_start: passage.since(dispatch.server), client_left: false }
+}
+
+#[test]
+fn an_attempt_may_not_begin_once_its_client_left_its_answer_is_given_or_its_time_is_over() {
+    let (mut passage, mut out, id) = (passage(9), Vec::new(), SeqId(5));
+    let read = taken(&mut passage, id);
+    let to = at(read.server.0 as u16);
+    let ready = due(&passage, &read, to);
+    assert_eq!(passage.may_begin(START + MS, &ready), Ok(()));
+    let left = Due { client_left: true, ..ready };
+    assert_eq!(passage.may_begin(START + MS, &left), Err(Denial::ClientLeft));
+    assert_eq!(passage.may_begin(START + read.limit, &ready), Err(Denial::OutOfTime));
+    passage.ended(START + MS, &read, Ending::Reset, &mut out);
+    assert_eq!(passage.may_begin(START + MS, &ready), Err(Denial::Superseded), "another attempt is out");
+    let again = sent(&out);
+    passage.end_all(START + 2 * MS, &mut out);
+    let ended = due(&passage, &again, to);
+    assert_eq!(passage.may_begin(START + 2 * MS, &ended), Err(Denial::Superseded), "its answer is given");
+    assert!(passage.breaches().is_empty(), "{:?}", passage.breaches());
+}
+
 fn let_go(out: &[Order<&'static str>]) -> Vec<Release> {
     let releases = out.iter().filter_map(|order| match order {
         Order::LetGo(release) => Some(release.clone()),
@@ -464,7 +489,10 @@
         }
         passage.ended(now, &dispatch, ending, &mut out);
     }
-    Ok(())
+    match passage.breaches().is_empty() {
+        true => Ok(()),
+        false => Err(format!("counted at run time: {:?}", passage.breaches())),
+    }
 }
 
 #[test]
@@ -568,23 +596,23 @@
     let port = |dispatch: &Dispatch| at(dispatch.server.0 as u16);
     let ready = entry(1, 0);
     let changes = [
-        (Some(ready.clone()), at(1), true),
-        (Some(Listing { condition: Condition::Draining, ..ready.clone() }), at(1), false),
-        (Some(Listing { condition: Condition::Gone, ..ready.clone() }), at(1), false),
-        (Some(Listing { since: START, ..ready.clone() }), at(1), false),
-        (Some(ready.clone()), at(9), false),
-        (None, at(1), false),
+        (Some(ready.clone()), at(1), Ok(())),
+        (Some(Listing { condition: Condition::Draining, ..ready.clone() }), at(1), Err(Denial::Draining)),
+        (Some(Listing { condition: Condition::Gone, ..ready.clone() }), at(1), Err(Denial::Gone)),
+        (Some(Listing { since: START, ..ready.clone() }), at(1), Err(Denial::StartedAnew)),
+        (Some(ready.clone()), at(9), Err(Denial::Moved)),
+        (None, at(1), Err(Denial::Gone)),
     ];
     for (change, address, may) in changes {
         let mut passage = passage(9);
         let read =
             (0..9).map(|id| taken(&mut passage, SeqId(id))).find(|read| read.server == ServerId(1)).unwrap();
-        let since = passage.since(read.server);
-        assert!(passage.may_begin(START + MS, &read, port(&read), since));
+        let due = due(&passage, &read, port(&read));
+        assert_eq!(passage.may_begin(START + MS, &due), Ok(()));
         let scope = if change.is_some() { ListScope::Changes } else { ListScope::Whole };
         let entries: Vec<_> = change.iter().map(|listing| (listing.clone(), address)).collect();
         passage.listed(START + 2 * MS, scope, &entries);
-        assert_eq!(passage.may_begin(START + 3 * MS, &read, port(&read), since), may, "{change:?}");
+        assert_eq!(passage.may_begin(START + 3 * MS, &due), may, "{change:?}");
     }
 }
 
@@ -600,7 +628,7 @@
         &[(entry(1, 0), at(1)), (entry(2, 0), at(2)), (entry(3, 1), at(3)), (entry(4, 1), at(4))],
     );
     let read = taken(&mut passage, SeqId(5));
-    let (mut out, since) = (Vec::new(), Some(0));
+    let mut out = Vec::new();
     assert_eq!(read.send_by, Nanos::MAX, "nothing has run yet");
     passage.ended(START + 10 * MS, &read, Ending::ReadDone { kept: 0.0 }, &mut out);
     let first = sent(&out);
@@ -608,8 +636,14 @@
     let again = sent(&out);
     assert!(again.attempt > first.attempt && again.send_by == START + 10 * MS + window, "{again:?}");
     let to = at(again.server.0 as u16);
-    assert!(passage.may_begin(again.send_by - 1, &again, to, since));
-    assert!(!passage.may_begin(again.send_by, &again, to, since), "its connection came up too late");
+    let (late, last) = (again.send_by, again.send_by - 1);
+    assert_eq!(passage.may_begin(last, &due(&passage, &again, to)), Ok(()));
+    let denied = Err(Denial::WindowOver);
+    assert_eq!(
+        passage.may_begin(late, &due(&passage, &again, to)),
+        denied,
+        "its connection came up too late"
+    );
     // Told as never sent, it is over: nothing goes out past the window, and no retry is called harmless.
     out.clear();
     passage.ended(again.send_by, &again, Ending::NotSent, &mut out);
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -57,67 +57,90 @@
     Left,
 }
 
-/// What becomes of a connection after a request.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum GoesOn {
-    Yes,
-    /// The answer says that no other follows, its client has gone, or has to see that its answer is not whole.
-    No,
+/// Why a connection ends. It is logged with the connection's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// Its client has closed it, ended its sending, or it broke.
+    ByClient,
+    /// No request came for too long.
+    Idle,
+    /// Its place went to another.
+    Evicted,
+    /// The gateway stops.
+    Stopping,
+    /// What came can't be served, or not now.
+    TurnedAway,
+    /// Its answer said that no other follows.
+    Announced,
+    /// Its client has to see that its answer is not whole.
+    CutShort,
+    /// Its client took nothing for too long, or broke the connection under its answer.
+    Unwritable,
 }
 
+/// What becomes of a connection after a request.
+type GoesOn = Result<(), Close>;
+
 /// Serves a connection until it ends. However it does, it is ended in one order: what comes after the last answer is
 /// never sent on, and what was written arrives.
 pub async fn serve(clients: &Clients, connection: ConnectionId, ends: &Ends, mut wire: Wire) {
     debug!(connection = connection.0, "came");
-    exchanges(clients, connection, ends, &mut wire).await;
+    let why = exchanges(clients, connection, ends, &mut wire).await;
+    debug!(connection = connection.0, ?why, "ends");
     clients.connection_table().borrow_mut().ends(connection);
     wire.finish().await;
 }
 
-async fn exchanges(clients: &Clients, connection: ConnectionId, ends: &Ends, wire: &mut Wire) {
+async fn exchanges(clients: &Clients, connection: ConnectionId, ends: &Ends, wire: &mut Wire) -> Close {
     let clock = clients.service().clock();
     let mut opened = Some(clock.now());
     loop {
-        let began = match first_byte(clients, connection, ends, wire).await {
-            true => opened.take().unwrap_or_else(|| clock.now()),
-            false if opened.is_some() => {
-                return debug!(connection = connection.0, "a connection without a request ended");
-            }
-            false => return,
-        };
+        if let Err(why) = first_byte(clients, connection, ends, wire).await {
+            return why;
+        }
+        let began = opened.take().unwrap_or_else(|| clock.now());
         let came = wire.first_came().map_or(began, |came| clock.at(came));
         clients.connection_table().borrow_mut().begins(connection);
         let head = match head(clients, began, wire).await {
             Came::Head(head) => head,
-            Came::Turned(turned) => return turn_away(wire, turned).await,
-            Came::Left => return,
+            Came::Turned(turned) => return turn_away(connection, wire, turned).await,
+            Came::Left => return Close::ByClient,
         };
         match request(clients, connection, ends, Since { began, came }, &head, wire).await {
-            Ok(GoesOn::Yes) => {}
-            Ok(GoesOn::No) => return,
-            Err(turned) => return turn_away(wire, turned).await,
+            Ok(Ok(())) => {}
+            Ok(Err(why)) => return why,
+            Err(turned) => return turn_away(connection, wire, turned).await,
         }
         clients.connection_table().borrow_mut().idles(clock.now(), connection);
     }
 }
 
-/// Waits for the next request to begin; false where the connection ends first. One that its client has closed behind
+/// Waits for the next request to begin, or says why the connection ends first. One that its client has closed behind
 /// requests that were sent ahead has ended: nobody waits for their answers. A byte that is there as the wait ends begins
 /// a request all the same, also where its place was given away: what is read is answered.
-async fn first_byte(clients: &Clients, connection: ConnectionId, ends: &Ends, wire: &mut Wire) -> bool {
+async fn first_byte(
+    clients: &Clients,
+    connection: ConnectionId,
+    ends: &Ends,
+    wire: &mut Wire,
+) -> Result<(), Close> {
     if !wire.buffer.is_empty() {
-        return !wire.peer().has_left();
+        return if wire.peer().has_left() { Err(Close::ByClient) } else { Ok(()) };
     }
     let within = Duration::from_nanos(clients.connection_table().borrow().may_idle(connection));
     let late = async {
         Timer::after(within).await;
+        Err(Close::Idle)
     };
-    let over = async {
-        future::or(clients.told_to_end(connection, ends), late).await;
-        false
+    let told = async {
+        clients.told_to_end(connection, ends).await;
+        Err(if ends.evicted() { Close::Evicted } else { Close::Stopping })
     };
-    let came = future::or(async { wire.more().await.is_ok() }, over).await;
-    came || (wire.peer().waits() && wire.more().await.is_ok())
+    let came = async { wire.more().await.map_err(|_| Close::ByClient) };
+    match future::or(came, future::or(told, late)).await {
+        Err(_) if wire.peer().waits() && wire.more().await.is_ok() => Ok(()),
+        came => came,
+    }
 }
 
 async fn head(clients: &Clients, began: Nanos, wire: &mut Wire) -> Came {
@@ -154,7 +177,7 @@
             debug!(connection = connection.0, "asked whether it is ready");
             // Closed at once: those who ask this by the hundreds and stay would leave no place for the others.
             written(wire, reply::brief(200, "ready\n", true, None).as_bytes()).await;
-            return Ok(GoesOn::No);
+            return Ok(Err(Close::Announced));
         }
         (b"POST", CHAT) => {}
         (_, CHAT | "/healthz") => return turned(405, "this method is not allowed here"),
@@ -168,7 +191,7 @@
     let fields = head.fields.passed_on(&SET);
     room.beside(fields.len()).map_err(shut)?;
     clients.asks(connection);
-    debug!(connection = connection.0, "asks");
+    debug!(connection = connection.0, request = head.fields.only("Req-Id"), "asks");
     serde_json::from_slice::<serde::de::IgnoredAny>(&body)
         .or_else(|_| turned(400, "the body is not JSON"))?;
 
@@ -178,7 +201,7 @@
     let peer = wire.peer();
     if peer.has_left() {
         debug!(connection = connection.0, "left before its request was taken");
-        return Ok(GoesOn::No);
+        return Ok(Err(Close::ByClient));
     }
     let left = Rc::new(move || peer.has_left());
     let message = Message { id, target: head.target.clone(), fields, body, room, left };
@@ -241,20 +264,20 @@
             None
         };
         let next = async { Some(answer.next().await) };
-        let Some(next) = future::or(next, left).await else { return GoesOn::No };
+        let Some(next) = future::or(next, left).await else { return Err(Close::ByClient) };
         closes |= !began && (clients.leaving() || ends.evicted());
         let told = match next {
             Next::Events(events) => {
                 let before = if began { String::new() } else { reply::stream(closes) };
                 began = true;
                 if !written(wire, &reply::chunk(before, &events)).await {
-                    return GoesOn::No;
+                    return Err(Close::Unwritable);
                 }
                 continue;
             }
             Next::Last(Final::Generated) => written(wire, reply::LAST_CHUNK).await,
             // Without the last chunk, so that nobody takes it for whole.
-            Next::Last(_) if began => return GoesOn::No,
+            Next::Last(_) if began => return Err(Close::CutShort),
             Next::Last(Final::Rejected { retry_after, .. }) => {
                 let told = reply::brief(503, "no room, trying again is harmless\n", closes, retry_after);
                 written(wire, told.as_bytes()).await
@@ -264,7 +287,11 @@
                 written(wire, told.as_bytes()).await
             }
         };
-        return if told && !closes { GoesOn::Yes } else { GoesOn::No };
+        return match (told, closes) {
+            (false, _) => Err(Close::Unwritable),
+            (true, true) => Err(Close::Announced),
+            (true, false) => Ok(()),
+        };
     }
 }
 
@@ -277,8 +304,9 @@
     future::or(async { wire.write(bytes).await.is_ok() }, late).await
 }
 
-async fn turn_away(wire: &mut Wire, turned: Turned) {
-    debug!(status = turned.status, what = turned.what, "turned away");
+async fn turn_away(connection: ConnectionId, wire: &mut Wire, turned: Turned) -> Close {
+    debug!(connection = connection.0, status = turned.status, what = turned.what, "turned away");
     let told = reply::brief(turned.status, &turned.what, true, turned.retry_after);
     written(wire, told.as_bytes()).await;
+    Close::TurnedAway
 }
--- a/src/proof.rs
+++ b/src/proof.rs
@@ -4,7 +4,12 @@
 
 /// The first attempt that may have taken effect. Prefills have none.
 pub fn maybe_ran(seq: &Sequence) -> Option<&Attempt> {
-    seq.attempts.iter().find(|attempt| {
+    first_that_ran(&seq.attempts)
+}
+
+/// The same of some attempts of a sequence.
+pub fn first_that_ran(attempts: &[Attempt]) -> Option<&Attempt> {
+    attempts.iter().find(|attempt| {
         use Outcome::*;
         let proven = matches!(attempt.status, Status::Closed(Full | NoState | ConnectFailed | NeverSent));
         attempt.step != Step::Read && !proven
