Test that fails: the chat front under interrupted calls and failed connections

Cause: read off front/src/stall.rs and engine/src/pool.rs: errors of the socket go to hyper as they are, and a connection is tried once. Measured (sockets): 12 of 60 requests served with one call in 20 interrupted and one connect in 3 failing.

--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -285,3 +285,26 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert!(kept.is_ok_and(|text| text.contains("one")), "what was taken on is kept");
 }
+
+#[test]
+fn the_chat_front_serves_although_calls_are_interrupted_and_connections_fail_for_a_moment() {
+    let folder = folder("interrupted");
+    let library = Library::build(&folder).unwrap();
+    let faults = Faults::new(&library, folder.join("words"), 1).unwrap();
+    let server = stand_in("one", "2");
+    write_list(&folder, &[("one", server.address)]);
+    let settings = write_settings(&folder, "1s");
+    let mut command = petrelshore(&["serve", &settings]);
+    faults.preload(&mut command);
+    let mut child = command.stderr(Stdio::null()).spawn().unwrap();
+    let mut ready = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut ready).unwrap();
+    let address = ready.split([' ', ',']).find_map(|word| word.parse::<SocketAddr>().ok()).unwrap();
+    faults.set(Fault::Interrupted, 20).unwrap();
+    faults.set(Fault::ConnectFails, 3).unwrap();
+    let served = (0..60).filter(|_| rest(ask(address, 3)).contains("[DONE]")).count();
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(served, 60);
+}
--- a/src/scheduler/start_times.rs
+++ b/src/scheduler/start_times.rs
@@ -10,8 +10,8 @@
 use crate::interface::*;
 use std::borrow::Cow;
 
-/// The most by which a wall clock may be wrong.
-const WRONG_MOST: i64 = 3_600_000_000_000;
+/// The most by which two wall clocks may be apart that are each wrong by an hour, and some minutes for starts just now.
+const WRONG_MOST: i64 = 7_500_000_000_000;
 /// How long word of a start may take while lists come.
 const WORD_TAKES: Nanos = 2_000_000_000;
 /// Starts that are remembered, also of servers that are listed no more: one that comes back is not taken for new.
