Every front keeps on through interrupted calls and connections that fail for a moment

Change: framing::connecting is the one place that makes connections, for the platform's and the other engines' clients; Persistent repeats interrupted calls under hyper and h2.

--- a/engine/src/pool.rs
+++ b/engine/src/pool.rs
@@ -3,12 +3,13 @@
 use crate::spawner::Spawner;
 use async_net::TcpStream;
 use bytes::Bytes;
-use futures_lite::future;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use petrelshore::interface::Nanos;
 use petrelshore_conductor::connections::Connections;
 use petrelshore_conductor::proof::Ending;
+use petrelshore_framing::connecting::{Unconnected, connect};
+use petrelshore_framing::system_calls::Persistent;
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -51,16 +52,15 @@
 
     /// A new connection, or none within the time.
     pub async fn connect(&self, to: SocketAddr, within: Duration) -> Result<Sender, Ending> {
-        let stream =
-            future::or(async { TcpStream::connect(to).await.map_err(|_| Ending::NotConnected) }, async {
-                async_io::Timer::after(within).await;
-                Err(Ending::NotConnected)
-            });
-        let stream = stream.await?;
+        let stream = connect(to, within).await.map_err(|why| match why {
+            Unconnected::Scarce => Ending::NotSent,
+            Unconnected::Peer => Ending::NotConnected,
+        })?;
+        let stream = TcpStream::from(stream);
         // Tokens are small and must not wait for each other.
         let _ = stream.set_nodelay(true);
         let mut builder = http1::Builder::new();
-        let handshake = builder.max_buf_size(HEAD).handshake(FuturesIo::new(stream)).await;
+        let handshake = builder.max_buf_size(HEAD).handshake(FuturesIo::new(Persistent::new(stream))).await;
         let (sender, connection) = handshake.map_err(|_| Ending::NotConnected)?;
         let driven = async move {
             // Its end shows at the exchange that runs on it.
--- a/framing/src/lib.rs
+++ b/framing/src/lib.rs
@@ -4,10 +4,12 @@
 //! sees it (`tests/hyper.rs` shows that), sizes of chunks are not told, nor whether the last byte of a request was
 //! written, nor what a peer sent unasked. So [`head`] reads heads with httparse, [`body`] decodes bodies, both
 //! without I/O, and [`wire`] is the socket round them. [`arrivals`]
-//! knows when what is in its buffer came, [`system_calls`] which failures pass by themselves.
+//! knows when what is in its buffer came, [`system_calls`] which failures pass by themselves;
+//! [`connecting`] waits for those of a new connection.
 
 pub mod arrivals;
 pub mod body;
+pub mod connecting;
 pub mod head;
 pub mod system_calls;
 pub mod wire;
--- a/framing/src/system_calls.rs
+++ b/framing/src/system_calls.rs
@@ -1,7 +1,12 @@
 //! Which failures of system calls pass by themselves, and what is done until they have.
 
+use async_io::Timer;
+use futures_lite::future::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, ready};
 use rustix::io::Errno;
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Before a call that failed for want of memory, descriptors or ports is made again.
@@ -76,3 +81,64 @@
         }
     }
 }
+
+/// A stream for those who take any error for its end: interrupted calls are made again, and calls that failed for want
+/// of memory after a pause.
+pub struct Persistent<T> {
+    stream: T,
+    pause: Option<Timer>,
+}
+
+impl<T> Persistent<T> {
+    pub fn new(stream: T) -> Self {
+        Persistent { stream, pause: None }
+    }
+
+    fn persist<R>(
+        &mut self,
+        context: &mut Context<'_>,
+        mut call: impl FnMut(&mut T, &mut Context<'_>) -> Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
+        loop {
+            if let Some(pause) = &mut self.pause {
+                ready!(pause.poll(context));
+                self.pause = None;
+            }
+            match call(&mut self.stream, context) {
+                Poll::Ready(Err(error)) if failure(&error) == Failure::Again => {}
+                Poll::Ready(Err(error)) if failure(&error) == Failure::Scarce => {
+                    self.pause = Some(Timer::after(RETRY_PAUSE));
+                }
+                done => return done,
+            }
+        }
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Persistent<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        self.persist(context, |stream, context| Pin::new(stream).poll_read(context, buffer))
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Persistent<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.persist(context, |stream, context| Pin::new(stream).poll_write(context, buffer))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.persist(context, |stream, context| Pin::new(stream).poll_flush(context))
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.persist(context, |stream, context| Pin::new(stream).poll_close(context))
+    }
+}
--- a/framing/src/wire.rs
+++ b/framing/src/wire.rs
@@ -2,13 +2,13 @@
 
 use crate::Unreadable;
 use crate::arrivals::Arrivals;
+use crate::connecting::{Unconnected, connect};
 use crate::head::{self, AnswerHead, RequestHead};
 use crate::system_calls::{Failure, RETRY_PAUSE, failure, uninterrupted};
 use async_io::{Async, Timer};
 use bytes::BytesMut;
 use futures_lite::future;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use std::cell::Cell;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -22,9 +22,6 @@
 /// After the last byte for a peer its own are taken and dropped for so long, and so many of them.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 1 << 20;
-/// Where there is no way to the network, connecting is tried again for so long: it may be back in a moment, and a peer
-/// that is cut off must not take up the time of the next one.
-const NETWORK_BACK: Duration = Duration::from_millis(150);
 /// Most answers of status 1xx before the one that counts.
 const INTERIM: usize = 1000;
 
@@ -48,15 +45,6 @@
     }
 }
 
-/// Why a connection was not made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unconnected {
-    /// This machine had no descriptor, port or memory for it: that says nothing of the peer.
-    Scarce,
-    /// The peer refused, did not answer in time, or can't be reached.
-    Peer,
-}
-
 pub struct Wire {
     stream: Arc<Async<TcpStream>>,
     pub buffer: BytesMut,
@@ -71,31 +59,9 @@
         Wire { stream, buffer: BytesMut::new(), arrivals: Arrivals::default() }
     }
 
-    /// A new connection within the time. What fails for a moment on this machine is tried again until then.
+    /// A new connection within the time.
     pub async fn connect(to: SocketAddr, within: Duration) -> Result<Self, Unconnected> {
-        let began = Instant::now();
-        let scarce = Cell::new(false);
-        let connected = async {
-            loop {
-                let error = match Async::<TcpStream>::connect(to).await {
-                    Ok(stream) => return Ok(Wire::new(stream)),
-                    Err(error) => error,
-                };
-                let failure = failure(&error);
-                scarce.set(failure == Failure::Scarce);
-                match failure {
-                    Failure::Again => {}
-                    Failure::Network if began.elapsed() >= NETWORK_BACK => return Err(Unconnected::Peer),
-                    Failure::Scarce | Failure::Network => drop(Timer::after(RETRY_PAUSE).await),
-                    Failure::Lasting => return Err(Unconnected::Peer),
-                }
-            }
-        };
-        let late = async {
-            Timer::after(within).await;
-            Err(if scarce.get() { Unconnected::Scarce } else { Unconnected::Peer })
-        };
-        future::or(connected, late).await
+        connect(to, within).await.map(Wire::new)
     }
 
     /// Takes what comes next into the buffer; nothing came where the peer has closed.
--- a/front/src/stall.rs
+++ b/front/src/stall.rs
@@ -3,6 +3,7 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite, future::FutureExt};
+use petrelshore_framing::system_calls::Persistent;
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -10,14 +11,14 @@
 
 /// Guards against clients that stop reading: what is written for them would stay in memory for ever.
 pub struct StallGuard {
-    stream: TcpStream,
+    stream: Persistent<TcpStream>,
     within: Duration,
     waiting: Option<Timer>,
 }
 
 impl StallGuard {
     pub fn new(stream: TcpStream, within: Duration) -> Self {
-        StallGuard { stream, within, waiting: None }
+        StallGuard { stream: Persistent::new(stream), within, waiting: None }
     }
 
     fn guard<T>(&mut self, context: &mut Context<'_>, wrote: Poll<Result<T>>) -> Poll<Result<T>> {
