A process with a wall clock an hour wrong at its start: tested; accepts yield

Need: the known fault of wall clocks had tests of the module only. Accepts that fail at once in a row did not give others their turn (by reading; the shim's mixture of errors can't force a row without end). Change: a test with real processes, one hour behind and one ahead; yields after interrupted accepts and connects.

--- a/cli/tests/system_calls.rs
+++ b/cli/tests/system_calls.rs
@@ -5,13 +5,13 @@
 
 use common::*;
 use petrelshore_soak::shim::{Fault, Faults, Library};
-use petrelshore_stand_in::platform::{Manner, ModelServer, config};
+use petrelshore_stand_in::platform::{Agent, Manner, ModelServer, config, entry};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const SEED: u64 = 1;
 
@@ -70,11 +70,9 @@
 fn a_gateway_whose_log_can_not_be_written_goes_on() {
     let reader = ModelServer::start(true, Manner::Good).unwrap();
     let writer = ModelServer::start(false, Manner::Good).unwrap();
-    let entries = [
-        petrelshore_stand_in::platform::entry("r", reader.address, "reader", "active"),
-        petrelshore_stand_in::platform::entry("w", writer.address, "writer", "active"),
-    ];
-    let agent = petrelshore_stand_in::platform::Agent::start(&entries.join(",")).unwrap();
+    let entries =
+        [entry("r", reader.address, "reader", "active"), entry("w", writer.address, "writer", "active")];
+    let agent = Agent::start(&entries.join(",")).unwrap();
     let [.., high, low] = std::process::id().to_be_bytes();
     let listen = SocketAddr::from(([127, 77, high, low.max(1)], 9000));
     let file = file("full-log");
@@ -120,3 +118,34 @@
     let world = World::start_as("unread-log", chatty);
     assert_eq!(served(world.at, 300), 300);
 }
+
+#[test]
+fn servers_are_used_once_they_are_warm_however_wrong_the_wall_clock_is_at_the_start() {
+    const SECOND: i64 = 1_000_000_000;
+    for ahead in [-3_600, 3_600] {
+        let faults = faults("wall");
+        faults.set(Fault::WallOffset, ahead * SECOND).unwrap();
+        let reader = ModelServer::start(true, Manner::Good).unwrap();
+        let writer = ModelServer::start(false, Manner::Good).unwrap();
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let started_now = |text: String| text.replace("\"since_ms\":0", &format!("\"since_ms\":{now}"));
+        let entries =
+            [entry("r", reader.address, "reader", "active"), entry("w", writer.address, "writer", "active")]
+                .map(started_now);
+        let agent = Agent::start(&entries.join(",")).unwrap();
+        let name = format!("wall-{ahead}");
+        let gateway = Gateway::start_as(&name, suffering(&faults), agent.address, &entries, |text| text);
+        // Cold for 5 s; nothing has been admitted yet, so that nothing is sent to a cold server.
+        let cold_until = Instant::now() + Duration::from_secs(4);
+        let mut id = 1_000;
+        while Instant::now() < cold_until {
+            id += 1;
+            assert!(
+                asked(gateway.at, id).0.starts_with("HTTP/1.1 503"),
+                "{ahead} s ahead: slow start is skipped"
+            );
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        assert_eq!(served(gateway.at, 50), 50, "{ahead} s ahead: slow start does not end");
+    }
+}
--- a/framing/src/connecting.rs
+++ b/framing/src/connecting.rs
@@ -33,7 +33,7 @@
             let failure = failure(&error);
             scarce.set(failure == Failure::Scarce);
             match failure {
-                Failure::Again => {}
+                Failure::Again => future::yield_now().await,
                 Failure::Network if began.elapsed() >= NETWORK_BACK => return Err(Unconnected::Peer),
                 Failure::Scarce | Failure::Network => drop(Timer::after(RETRY_PAUSE).await),
                 Failure::Lasting => return Err(Unconnected::Peer),
--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -2,6 +2,7 @@
 
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
+use futures_lite::future;
 use petrelshore_conductor::doors::{Doors, Shut};
 use petrelshore_conductor::{intake, pace};
 use petrelshore_framing::system_calls::{Failure, accept_failure, listen_failure};
@@ -59,8 +60,10 @@
                 Ok(accepted) => return accepted,
                 Err(error) => {
                     debug!(%error, "accept failed");
-                    if accept_failure(&error) != Failure::Again {
-                        Timer::after(ACCEPT_PAUSE).await;
+                    match accept_failure(&error) {
+                        // Others get their turn, however many fail in a row.
+                        Failure::Again => future::yield_now().await,
+                        _ => drop(Timer::after(ACCEPT_PAUSE).await),
                     }
                 }
             }
@@ -101,7 +104,7 @@
                 let late = async {
                     Timer::after(CLOSE_AFTER).await;
                 };
-                spawner.run(futures_lite::future::or(turn_away(stream), late));
+                spawner.run(future::or(turn_away(stream), late));
                 continue;
             }
             spawner.run(connected(stream, Inside { doors: self.doors.clone(), client, peer }));
