Test that fails: a configuration that is not whole for longer than a second

Cause: read off cli/src/platform.rs: reload reads ten times in a second and forgets that it was told. Measured (sockets): a file that is half written, or away, for 1.5 s after SIGHUP is never taken.

--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -172,6 +172,28 @@
     assert!(world.told(asks(1, "Connection: close\r\n").as_bytes()).starts_with("HTTP/1.1 200"));
 }
 
+#[test]
+fn a_configuration_that_was_half_written_or_away_when_it_was_told_of_is_taken_once_it_is_whole() {
+    for half in [true, false] {
+        let world = World::start(if half { "half-config" } else { "no-config" });
+        let text = std::fs::read_to_string(&world.file).unwrap();
+        let moved = Agent::start(&entry("r", world.reader.address, "reader", "active")).unwrap();
+        match half {
+            true => std::fs::write(&world.file, &text[..text.len() / 2]).unwrap(),
+            false => std::fs::remove_file(&world.file).unwrap(),
+        }
+        world.signal("-HUP");
+        std::thread::sleep(Duration::from_millis(1_500));
+        let address = (world.agent.address.to_string(), moved.address.to_string());
+        std::fs::write(&world.file, text.replace(&address.0, &address.1)).unwrap();
+        let until = Instant::now() + Duration::from_secs(3);
+        while moved.asked() == 0 {
+            assert!(Instant::now() < until, "half written: {half}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
 #[test]
 fn told_to_stop_it_answers_what_it_has_and_still_takes_what_comes_and_exits_with_0() {
     let mut world = World::start("stop");
