A configuration is read until it is whole or another is told of

Change: after the first second it is read each second for ten minutes; a later SIGHUP takes its place.

--- a/cli/src/platform.rs
+++ b/cli/src/platform.rs
@@ -11,6 +11,7 @@
 use petrelshore_platform::{Service, discovery};
 use petrelshore_platform_front::Clients;
 use petrelshore_platform_terms::config::{Config, config};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -25,6 +26,9 @@
 /// A file that is just being written is read again so often, after a pause.
 const READINGS: usize = 10;
 const PAUSE: Duration = Duration::from_millis(100);
+/// And after these so often, with a longer pause: whoever writes it may have been killed, and write it anew.
+const LATE_READINGS: usize = 600;
+const LATE_PAUSE: Duration = Duration::from_secs(1);
 /// Once nothing is left, whoever has connected meanwhile is looked for, for so long.
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Streams are moved in steps of this.
@@ -95,9 +99,13 @@
     let told_to_stop = stopped.listen();
     let (reloads, spawns, stops) = (service.clone(), executor.clone(), stopped.clone());
     let follow_signals = async move {
+        let latest = Rc::new(Cell::new(0));
         loop {
             match signals.next().await {
-                Signal::Reload => spawns.spawn(reload(reloads.clone())).detach(),
+                Signal::Reload => {
+                    latest.set(latest.get() + 1);
+                    spawns.spawn(reload(reloads.clone(), latest.get(), latest.clone())).detach();
+                }
                 Signal::Stop => drop(stops.notify(usize::MAX)),
             }
         }
@@ -153,9 +161,10 @@
     Ok(())
 }
 
-/// Takes discovery's address from the configuration as it is now. One that is not good changes nothing.
-async fn reload(service: Service) {
-    for reading in 1..=READINGS {
+/// Takes discovery's address from the configuration as it is now. One that is not good changes nothing, and is read again
+/// until it is, or until the gateway is told of another.
+async fn reload(service: Service, number: usize, latest: Rc<Cell<usize>>) {
+    for reading in 1..=READINGS + LATE_READINGS {
         match read() {
             Ok(config) => {
                 info!(discovery = %config.discovery, "took the new configuration");
@@ -166,7 +175,10 @@
                 reading, "the configuration is not good: staying with the one before"
             ),
         }
-        Timer::after(PAUSE).await;
+        Timer::after(if reading < READINGS { PAUSE } else { LATE_PAUSE }).await;
+        if latest.get() != number {
+            return;
+        }
     }
 }
 
