Test that fails: a server that takes a request slowly is told a stale deadline

Cause: read off Client::exchange: the time that is told is reckoned before the write, which may take up to 1 s.

--- a/platform-engine/tests/manners.rs
+++ b/platform-engine/tests/manners.rs
@@ -536,3 +536,20 @@
     let held = Call { held: true, connect_within: Duration::from_millis(400), ..call(to) };
     assert_eq!(ended_within(&client(4), &held, Duration::from_secs(2)), (Some(Ending::Reset), false));
 }
+
+#[test]
+fn a_request_that_is_taken_slowly_is_broken_off_before_the_time_it_tells_is_stale() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    rustix::net::sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
+    let to = listener.local_addr().unwrap();
+    let large = 16 << 20;
+    let server = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        std::thread::sleep(Duration::from_millis(400));
+        all_of(stream).len()
+    });
+    let slow = Call { body: Bytes::from(vec![b' '; large]), ..call(to) };
+    let ended = ended_within(&client(4), &slow, Duration::from_secs(3));
+    assert_eq!(ended, (Some(Ending::NotConnected), false));
+    assert!(server.join().unwrap() < large, "its last byte was never written");
+}
