--- a/platform-engine/src/client.rs
+++ b/platform-engine/src/client.rs
@@ -23,6 +23,9 @@
 const LARGEST: usize = 256 << 10;
 
 const MILLISECOND: Nanos = 1_000_000;
+/// A request tells its server how much time its client has left. Written for longer than this it would tell too much:
+/// it is broken off before its last byte.
+const WRITE_WITHIN: Duration = Duration::from_millis(100);
 
 /// Header fields that this client sets itself.
 pub const SET: [&str; 3] = ["Req-Id", "Req-Deadline-Ms", "Content-Type"];
@@ -326,7 +329,7 @@
         }
     };
     let late = async {
-        Timer::after(within).await;
+        Timer::after(within.min(WRITE_WITHIN)).await;
         Written::Late
     };
     future::or(written, late).await
