Test that fails: word to let go comes late where a reader and others are silent

Cause: read off Service::tell_reader: a reader and up to three others are told one after the other, each awaited for a quarter of the rule's time, after half of it has gone by.

--- a/cli/tests/moments.rs
+++ b/cli/tests/moments.rs
@@ -574,3 +574,41 @@
     let told = answer(&mut BufReader::new(client)).0;
     assert!(told.starts_with("HTTP/1.1 408"), "{told}");
 }
+
+#[test]
+fn where_a_reader_and_others_are_silent_a_third_is_told_to_let_go_well_within_the_time() {
+    let (reader, writers) = (Held::start(), [Held::start(), Held::start(), Held::start()]);
+    let mut entries = vec![entry("r", reader.address, "reader", "active")];
+    let names = ["w0", "w1", "w2"];
+    entries.extend((0..3).map(|n| entry(names[n], writers[n].address, "writer", "active")));
+    let agent = Agent::start(&entries.join(",")).unwrap();
+    let gateway = Gateway::start("silent-three", agent.address, &entries, |text| text);
+    let mut client = gateway.connect();
+    client.write_all(asks(1, "").as_bytes()).unwrap();
+    let mut read = reader.accept();
+    assert!(read.request().starts_with("POST"));
+    read.say(READ);
+    // The write is out to one of them; then the client leaves.
+    let mut write =
+        writers.iter().cycle().find_map(|held| held.accept_within(Duration::from_millis(1))).unwrap();
+    assert!(write.request().starts_with("POST"));
+    drop(client);
+    let left = Instant::now();
+    // Nobody answers; all of them are told.
+    let mut told = [None; 3];
+    let mut open: Vec<(usize, HeldConnection)> = Vec::new();
+    while told.contains(&None) {
+        assert!(left.elapsed() < PATIENCE, "told: {told:?}");
+        for (n, held) in writers.iter().enumerate() {
+            open.extend(held.accept_within(Duration::ZERO).map(|connection| (n, connection)));
+        }
+        for (n, connection) in &mut open {
+            if told[*n].is_none() && connection.line_within(Duration::from_millis(1)).is_some() {
+                told[*n] = Some(left.elapsed());
+            }
+        }
+    }
+    let last = told.iter().flatten().max().copied().unwrap();
+    assert!(last < Duration::from_millis(300), "of 0.5 s to let go: {told:?}");
+    drop((read, write));
+}
