--- a/conductor/src/passage.rs
+++ b/conductor/src/passage.rs
@@ -264,12 +264,17 @@
         self.releases.answer_within()
     }
 
+    /// How long the answer to a release is awaited before another server is told as well.
+    pub fn another_after(&self) -> Nanos {
+        self.releases.another_after()
+    }
+
     /// Where a server is reached.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.servers.get(&server).map(|reached| reached.address)
     }
 
-    /// The servers by way of which a reader that can't be had is told, one after the other.
+    /// The servers by way of which a reader that can't be had is told.
     pub fn by_way_of(&self, release: &Release) -> Vec<(ServerId, SocketAddr)> {
         let ready = self.servers.iter().filter(|(_, reached)| reached.condition == Condition::Ready);
         let ready: Vec<_> = ready.map(|(id, reached)| (reached.heard, *id)).collect();
--- a/conductor/src/releases.rs
+++ b/conductor/src/releases.rs
@@ -23,8 +23,10 @@
 /// More than this are not remembered: the oldest is dropped, and counted.
 const MOST: usize = 10_000;
 
-/// A word that its reader does not take goes by way of so many others, one after the other, until one answers.
+/// A word that its reader does not take goes by way of so many others, until one answers.
 const OTHERS: usize = 3;
+/// Each next one is told after this part of the time for an answer, while those before are still awaited.
+const NEXT: u64 = 2;
 /// Connections that are kept for telling them, beyond one for each sequence in hand.
 pub const PLACES: usize = 8;
 
@@ -121,6 +123,11 @@
         (self.within / FIRST).max(1)
     }
 
+    /// How long an answer is awaited before the next server is told as well.
+    pub fn another_after(&self) -> Nanos {
+        (self.answer_within() / NEXT).max(1)
+    }
+
     /// By way of whom else a reader that can't be had is told: of the servers that should be there, given with when
     /// they were last heard of, the ones heard last, others with each try, since those may be lost too.
     pub fn by_way_of(&self, release: &Release, ready: &[(Nanos, ServerId)]) -> Vec<ServerId> {
