Soak: gateways start side by side

Cause: the planted fault of slow starts could not be played in time, one start after the other. Change: starts are tasks of their own.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -110,8 +110,12 @@
     let made: io::Result<Vec<Rc<Gateway>>> =
         (0..plan.gateways).map(|number| Gateway::new(world, plan.program.clone(), library, number)).collect();
     let gateways = made?;
-    for gateway in &gateways {
-        gateway.start().await?;
+    let starts = gateways.iter().map(|gateway| {
+        let own = gateway.clone();
+        world.executor.spawn(async move { own.start().await })
+    });
+    for start in starts.collect::<Vec<_>>() {
+        start.await?;
     }
     for gateway in &gateways {
         let own = gateway.clone();
