--- a/src/scheduler/start_times.rs
+++ b/src/scheduler/start_times.rs
@@ -81,6 +81,8 @@
         }
         let before = self.known.get(&entry.server).copied();
         if let Some(start) = before.filter(|start| start.stamp == stamp) {
+            // Written anew: what leaves a full table is what has not been listed for longest.
+            self.known.insert(entry.server, start);
             return start.at;
         }
         // Another start of the same server is a later one, whatever the stamps say.
