--- a/cli/tests/system_calls.rs
+++ b/cli/tests/system_calls.rs
@@ -149,3 +149,29 @@
         assert_eq!(served(gateway.at, 50), 50, "{ahead} s ahead: slow start does not end");
     }
 }
+
+#[test]
+fn a_request_that_waited_while_accepts_failed_is_given_no_more_than_its_time() {
+    let faults = faults("accepts");
+    let (reader, writer) = (Held::start(), Held::start());
+    let entries =
+        [entry("r", reader.address, "reader", "active"), entry("w", writer.address, "writer", "active")];
+    let agent = Agent::start(&entries.join(",")).unwrap();
+    // A write of this type gets all the time there is.
+    let once = |text: String| text.replace("\"free\"", "\"single_shot\"");
+    let gateway = Gateway::start_as("accepts", suffering(&faults), agent.address, &entries, once);
+    faults.set(Fault::AcceptFails, 1).unwrap();
+    let asked = Instant::now();
+    let mut client = gateway.connect();
+    client.write_all(asks(1, "").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    faults.set(Fault::AcceptFails, 0).unwrap();
+    let mut read = reader.accept();
+    assert!(read.request().starts_with("POST"));
+    read.say(READ);
+    let request = writer.accept().request();
+    let told = request.split("Req-Deadline-Ms: ").nth(1).and_then(|rest| rest.split('\r').next());
+    let told: u128 = told.unwrap().parse().unwrap();
+    let left = 4_000 - asked.elapsed().as_millis();
+    assert!(told <= left + 150, "told {told} ms of {left}");
+}
