The time of a request counts from when its connection may have come

Change: Listening tells since when connections were held back (a failed accept, a full table), until its queue has been empty; the first request of such a connection may have come then. Other fronts count no deadlines from there.

--- a/front/src/entrance.rs
+++ b/front/src/entrance.rs
@@ -7,11 +7,11 @@
 use petrelshore_conductor::{intake, pace};
 use petrelshore_framing::system_calls::{Failure, accept_failure, listen_failure};
 use petrelshore_gateway::Gateway;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::debug;
 
 /// Connections that may wait to be taken.
@@ -28,6 +28,16 @@
 pub struct Listening {
     listener: TcpListener,
     pub address: SocketAddr,
+    /// Since when connections may wait in the system's queue although they could be taken; none once it was empty.
+    held_back_since: Cell<Option<Instant>>,
+}
+
+/// A client that has connected.
+pub struct Accepted {
+    pub stream: TcpStream,
+    pub peer: SocketAddr,
+    /// It may have come, with its first request, at any time from then on: accepts had failed, or were put off.
+    pub held_back_since: Option<Instant>,
 }
 
 /// Listens at an address; what fails for a moment is tried again.
@@ -49,17 +59,28 @@
     // Bound anew with a longer queue: where it overflows, clients wait a second for their next try.
     rustix::net::listen(&listener, WAITING)?;
     let address = listener.local_addr()?;
-    Ok(Listening { listener, address })
+    Ok(Listening { listener, address, held_back_since: Cell::new(None) })
 }
 
 impl Listening {
     /// The next client. A failed accept never ends the front, nor spins it.
-    pub async fn next(&self) -> (TcpStream, SocketAddr) {
+    pub async fn next(&self) -> Accepted {
         loop {
-            match self.listener.accept().await {
-                Ok(accepted) => return accepted,
+            let accepted = match future::poll_once(self.listener.accept()).await {
+                Some(accepted) => accepted,
+                None => {
+                    // Nobody waits: whoever is taken next has just come.
+                    self.held_back_since.set(None);
+                    self.listener.accept().await
+                }
+            };
+            match accepted {
+                Ok((stream, peer)) => {
+                    return Accepted { stream, peer, held_back_since: self.held_back_since.get() };
+                }
                 Err(error) => {
                     debug!(%error, "accept failed");
+                    self.holds_back();
                     match accept_failure(&error) {
                         // Others get their turn, however many fail in a row.
                         Failure::Again => future::yield_now().await,
@@ -69,6 +90,12 @@
             }
         }
     }
+
+    /// From now on connections may wait although they could be taken.
+    pub fn holds_back(&self) {
+        let since = self.held_back_since.get().unwrap_or_else(Instant::now);
+        self.held_back_since.set(Some(since));
+    }
 }
 
 /// The way in to one gateway, for all of its fronts together: their connections and bodies share one bound.
@@ -96,7 +123,7 @@
     {
         let spawner = self.gateway.spawner().clone();
         loop {
-            let (stream, peer) = listening.next().await;
+            let Accepted { stream, peer, .. } = listening.next().await;
             // Tokens are small and must not wait for each other.
             let _ = stream.set_nodelay(true);
             let client = intake::stable_id(&peer.ip().to_string());
--- a/platform-front/src/clients.rs
+++ b/platform-front/src/clients.rs
@@ -4,13 +4,12 @@
 use crate::reply;
 use async_executor::Task;
 use async_io::Timer;
-use async_net::TcpStream;
 use event_listener::Event;
 use futures_lite::future;
 use petrelshore_conductor::connection_table::{ConnectionId, ConnectionTable, Entry, FULL_LEAST};
 use petrelshore_conductor::doors::Doors;
 use petrelshore_framing::wire::{Peer, Wire};
-use petrelshore_front::entrance::{Listening, Reading};
+use petrelshore_front::entrance::{Accepted, Listening, Reading};
 use petrelshore_platform::Service;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -94,17 +93,19 @@
     pub async fn take(self, listening: Listening) {
         loop {
             for _ in 0..AT_A_TIME {
-                let (stream, _) = listening.next().await;
-                self.enter(stream).await;
+                let accepted = listening.next().await;
+                self.enter(&listening, accepted).await;
             }
             // Guards against a flood of connections: those that are in get their turn.
             future::yield_now().await;
         }
     }
 
-    async fn enter(&self, stream: TcpStream) {
+    async fn enter(&self, listening: &Listening, accepted: Accepted) {
+        let Accepted { stream, held_back_since, .. } = accepted;
         let mut entry = self.ask_in();
         if entry == Entry::Soon {
+            listening.holds_back();
             Timer::after(Duration::from_nanos(FULL_LEAST)).await;
             entry = self.ask_in();
         }
@@ -121,12 +122,13 @@
                 clients.0.rejecting.update(|count| count - 1);
                 clients.0.gone.notify(usize::MAX);
             });
+            listening.holds_back();
             return self.room_rejecting().await;
         };
         let (peer, ends) = (wire.peer(), Rc::new(Ends::default()));
         let own_ends = ends.clone();
         let task = spawner.spawn(async move {
-            serve(&clients, id, &own_ends, wire).await;
+            serve(&clients, id, &own_ends, held_back_since, wire).await;
             clients.0.connection_table.borrow_mut().leave(id);
             clients.0.evicted.borrow_mut().retain(|evicted| *evicted != id);
             let own = clients.0.tasks.borrow_mut().remove(&id);
--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -18,7 +18,7 @@
 use petrelshore_platform_engine::SET;
 use petrelshore_platform_terms::request::sequence;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::debug;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -83,15 +83,28 @@
 
 /// Serves a connection until it ends. However it does, it is ended in one order: what comes after the last answer is
 /// never sent on, and what was written arrives.
-pub async fn serve(clients: &Clients, connection: ConnectionId, ends: &Ends, mut wire: Wire) {
+/// Its first request may have come from `held_back_since` on, where connections had to wait before they were taken.
+pub async fn serve(
+    clients: &Clients,
+    connection: ConnectionId,
+    ends: &Ends,
+    held_back_since: Option<Instant>,
+    mut wire: Wire,
+) {
     debug!(connection = connection.0, "came");
-    let why = exchanges(clients, connection, ends, &mut wire).await;
+    let why = exchanges(clients, connection, ends, held_back_since, &mut wire).await;
     debug!(connection = connection.0, ?why, "ends");
     clients.connection_table().borrow_mut().ends(connection);
     wire.finish().await;
 }
 
-async fn exchanges(clients: &Clients, connection: ConnectionId, ends: &Ends, wire: &mut Wire) -> Close {
+async fn exchanges(
+    clients: &Clients,
+    connection: ConnectionId,
+    ends: &Ends,
+    mut held_back_since: Option<Instant>,
+    wire: &mut Wire,
+) -> Close {
     let clock = clients.service().clock();
     let mut opened = Some(clock.now());
     loop {
@@ -99,7 +112,8 @@
             return why;
         }
         let began = opened.take().unwrap_or_else(|| clock.now());
-        let came = wire.first_came().map_or(began, |came| clock.at(came));
+        let came = wire.first_came().into_iter().chain(held_back_since.take()).min();
+        let came = came.map_or(began, |came| clock.at(came));
         clients.connection_table().borrow_mut().begins(connection);
         let head = match head(clients, began, wire).await {
             Came::Head(head) => head,
