Processes that suffer faults end with whoever plays them

Cause: a soak that was killed left its gateways running (seen today). Change: the shim asks the system for SIGKILL at the end of its parent. Measured (sockets): tests of system calls and the short soak pass.

--- a/soak/shim/faults.c
+++ b/soak/shim/faults.c
@@ -10,11 +10,13 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -53,6 +55,8 @@
 __attribute__((constructor)) static void start(void) {
     const char *file = getenv("PETRELSHORE_FAULTS");
     if (!file) return;
+    /* Whoever plays the faults may be killed: nothing of it is to run on. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = open(file, O_RDWR | O_CLOEXEC);
     if (fd < 0) return;
     void *mapped = mmap(0, WORDS * sizeof(int64_t), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
