Only a request that lies there as its connection is taken may have come before

Cause: reread: a client that connects while accepts fail, and asks a second later, lost that second. Change: the earlier time counts where bytes wait as the connection is taken. Measured (sockets): tests of system calls and platform pass.

--- a/platform-front/src/connection.rs
+++ b/platform-front/src/connection.rs
@@ -92,6 +92,8 @@
     mut wire: Wire,
 ) {
     debug!(connection = connection.0, "came");
+    // What does not lie there yet comes later, however long its connection has waited.
+    let held_back_since = held_back_since.filter(|_| wire.peer().waits());
     let why = exchanges(clients, connection, ends, held_back_since, &mut wire).await;
     debug!(connection = connection.0, ?why, "ends");
     clients.connection_table().borrow_mut().ends(connection);
