Soak: runs beside each other never share addresses; a party that can't serve ends the run

Change: addresses are reserved; a run one of whose parties could not serve ends with an error, not a verdict.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -55,8 +55,11 @@
     std::fs::create_dir_all(&plan.folder)?;
     let library = Library::build(&plan.folder)?;
     let terms = terms(plan);
-    let world = World::new(terms, plan.seed, plan.folder.clone());
+    let world = World::new(terms, plan.seed, plan.folder.clone())?;
     async_io::block_on(world.executor.run(play(&world, plan, &library)))?;
+    if let Some(error) = world.failed.take() {
+        return Err(error);
+    }
     let events = world.record.events();
     let violations = judge(&terms, &events);
     if violations.is_empty() {
@@ -98,11 +101,11 @@
     for gateway in 0..plan.gateways {
         for server in 0..plan.servers {
             let own = world.clone();
-            world.spawn(async move { note(server::serve(own, gateway, server).await) });
+            world.spawn(async move { note(&own.clone(), server::serve(own, gateway, server).await) });
         }
         for which in 0..agent::ADDRESSES {
             let own = world.clone();
-            world.spawn(async move { note(agent::serve(own, gateway, which).await) });
+            world.spawn(async move { note(&own.clone(), agent::serve(own, gateway, which).await) });
         }
     }
     let own = world.clone();
@@ -141,9 +144,10 @@
     Ok(())
 }
 
-fn note(ended: io::Result<()>) {
+/// Notes that a party could not serve.
+fn note(world: &World, ended: io::Result<()>) {
     if let Err(error) = ended {
-        eprintln!("soak: a party of the run could not serve: {error}");
+        world.failed.borrow_mut().get_or_insert(error);
     }
 }
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,12 +6,16 @@
 use event_listener::Event as Changed;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const PORT: u16 = 9000;
+/// Second bytes of loopback addresses that runs take.
+const FIRST_BASE: u8 = 16;
+const BASES: u32 = 200;
 pub const ZONES: [&str; 2] = ["east", "west"];
 
 /// Settings of the deployment that a run plays, as the oracle holds gateways to them.
@@ -84,7 +88,9 @@
     pub chance: Chance,
     pub seed: u64,
     pub folder: PathBuf,
+    /// The second byte of all addresses of this run, and what keeps others from it.
     base: u8,
+    _reserved: TcpListener,
     pub servers: Vec<Server>,
     links: Vec<Link>,
     pub agents: Vec<AgentState>,
@@ -101,10 +107,27 @@
     next_exchange: Cell<u64>,
     /// Requests that a server has read.
     sent_on: RefCell<BTreeSet<u64>>,
+    /// Why a party could not serve: such a run says nothing.
+    pub failed: RefCell<Option<io::Error>>,
+}
+
+/// Addresses that no other run has: runs may play beside each other.
+fn reserve() -> io::Result<(u8, TcpListener)> {
+    let first = std::process::id() % BASES;
+    for offset in 0..BASES {
+        let base = FIRST_BASE + ((first + offset) % BASES) as u8;
+        match TcpListener::bind((Ipv4Addr::new(127, base, 255, 254), PORT)) {
+            Ok(listener) => return Ok((base, listener)),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 impl World {
-    pub fn new(terms: Terms, seed: u64, folder: PathBuf) -> Rc<World> {
+    pub fn new(terms: Terms, seed: u64, folder: PathBuf) -> io::Result<Rc<World>> {
+        let (base, reserved) = reserve()?;
         let server = |n: usize| Server {
             role: if n.is_multiple_of(2) { Role::Prefill } else { Role::Decode },
             zone: (n / 2) % ZONES.len(),
@@ -120,15 +143,15 @@
             slow: Cell::new(Duration::ZERO),
             address: Cell::new(0),
         };
-        Rc::new(World {
+        Ok(Rc::new(World {
             executor: LocalExecutor::new(),
             record: Record::default(),
             terms,
             chance: Chance::new(seed),
             seed,
             folder,
-            // Runs beside each other have addresses of their own.
-            base: 16 + (std::process::id() % 200) as u8,
+            base,
+            _reserved: reserved,
             servers: (0..terms.servers).map(server).collect(),
             links: (0..terms.gateways * terms.servers).map(|_| Link::default()).collect(),
             agents: (0..terms.gateways).map(agent).collect(),
@@ -140,7 +163,8 @@
             over: Cell::new(false),
             next_exchange: Cell::new(0),
             sent_on: RefCell::default(),
-        })
+            failed: RefCell::default(),
+        }))
     }
 
     pub fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
