Test that fails: a reader that leaves the inventory keeps what it holds

Cause: read off Gateway::let_go: without an address the word counts as settled, though the reader may run on. Measured (sockets): the reader that had read the prompt is not told in 5 s.

--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -6,9 +6,10 @@
 use petrelshore_soak::shim::{Fault, Faults, Library};
 use petrelshore_stand_in::record::FinalSeen;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A process that is ended with its test, by its own id.
@@ -308,3 +309,91 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert_eq!(served, 60);
 }
+
+/// The next request on a connection, its head and its body; empty where it ends.
+fn request(lines: &mut BufReader<TcpStream>) -> String {
+    let (mut text, mut length) = (String::new(), 0);
+    loop {
+        let from = text.len();
+        if lines.read_line(&mut text).unwrap_or(0) == 0 {
+            return String::new();
+        }
+        let line = text[from..].to_lowercase();
+        if let Some(told) = line.strip_prefix("content-length: ") {
+            length = told.trim().parse().unwrap();
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    lines.read_exact(&mut body).unwrap();
+    text + std::str::from_utf8(&body).unwrap()
+}
+
+#[test]
+fn a_reader_that_leaves_the_inventory_is_told_to_let_go_of_what_it_holds() {
+    let folder = folder("delisted");
+    let (seen, lines_of) = (Arc::new(Mutex::new(Vec::new())), ["r1", "r2", "w1", "w2"]);
+    let listeners = lines_of.map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap());
+    let addresses = [0, 1, 2, 3].map(|n| listeners[n].local_addr().unwrap());
+    for (n, listener) in listeners.into_iter().enumerate() {
+        let seen = seen.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = seen.clone();
+                std::thread::spawn(move || {
+                    let mut lines = BufReader::new(stream);
+                    loop {
+                        let text = request(&mut lines);
+                        if text.is_empty() {
+                            return;
+                        }
+                        seen.lock().unwrap().push((n, text));
+                        if n >= 2 {
+                            // A writer that never answers, so that the state waits.
+                            continue;
+                        }
+                        let answer = r#"{"kv_transfer_params":{"a":1},"usage":{"prompt_tokens":3}}"#;
+                        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
+                        let _ = lines.get_mut().write_all((head + answer).as_bytes());
+                    }
+                });
+            }
+        });
+    }
+    let list = |without: Option<usize>| {
+        let row = |n: usize| {
+            let kind = if n < 2 { "reader" } else { "writer" };
+            format!("{},{kind},{},here\n", lines_of[n], addresses[n])
+        };
+        let rows: String = (0..4).filter(|n| Some(*n) != without).map(row).collect();
+        std::fs::write(folder.join("boxes.csv"), format!("name,kind,address,zone\n{rows}")).unwrap();
+    };
+    list(None);
+    let file = write_settings(&folder, "1s");
+    let kinds = "kinds.reader = { role = 'reader, memory_tokens = 100000 },\n\
+                 kinds.writer = { role = 'writer, memory_tokens = 100000 },";
+    let text = std::fs::read_to_string(&file).unwrap();
+    let mixed = text.lines().find(|line| line.contains("kinds.mixed")).unwrap().to_owned();
+    std::fs::write(&file, text.replace(&mixed, kinds)).unwrap();
+    let gateway = start(&["serve", &file]);
+    let client = ask(gateway.address, 3);
+    let wait_for = |what: &str, holds: &dyn Fn(&[(usize, String)]) -> bool| {
+        let until = Instant::now() + Duration::from_secs(5);
+        while !holds(&seen.lock().unwrap()) {
+            assert!(Instant::now() < until, "{what}: {:?}", seen.lock().unwrap());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    wait_for("the write is out", &|seen| seen.iter().any(|(n, _)| *n >= 2));
+    let reader = seen.lock().unwrap()[0].0;
+    list(Some(reader));
+    signal(&gateway, "-HUP");
+    std::thread::sleep(Duration::from_millis(200));
+    drop(client);
+    let told = |seen: &[(usize, String)]| seen.iter().filter(|(n, _)| *n == reader).count() >= 2;
+    wait_for("its reader is told", &told);
+    drop(gateway);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
