A reader that left the inventory is still told to let go

Change: addresses of the last 1,024 servers that left the inventory are remembered for words to let go.

--- a/cli/tests/daemon.rs
+++ b/cli/tests/daemon.rs
@@ -310,6 +310,9 @@
     assert_eq!(served, 60);
 }
 
+/// At which server a request came, and its text.
+type Came = (usize, String);
+
 /// The next request on a connection, its head and its body; empty where it ends.
 fn request(lines: &mut BufReader<TcpStream>) -> String {
     let (mut text, mut length) = (String::new(), 0);
@@ -334,7 +337,7 @@
 #[test]
 fn a_reader_that_leaves_the_inventory_is_told_to_let_go_of_what_it_holds() {
     let folder = folder("delisted");
-    let (seen, lines_of) = (Arc::new(Mutex::new(Vec::new())), ["r1", "r2", "w1", "w2"]);
+    let (seen, lines_of) = (Arc::new(Mutex::new(Vec::<Came>::new())), ["r1", "r2", "w1", "w2"]);
     let listeners = lines_of.map(|_| TcpListener::bind(("127.0.0.1", 0)).unwrap());
     let addresses = [0, 1, 2, 3].map(|n| listeners[n].local_addr().unwrap());
     for (n, listener) in listeners.into_iter().enumerate() {
@@ -379,7 +382,7 @@
     std::fs::write(&file, text.replace(&mixed, kinds)).unwrap();
     let gateway = start(&["serve", &file]);
     let client = ask(gateway.address, 3);
-    let wait_for = |what: &str, holds: &dyn Fn(&[(usize, String)]) -> bool| {
+    let wait_for = |what: &str, holds: &dyn Fn(&[Came]) -> bool| {
         let until = Instant::now() + Duration::from_secs(5);
         while !holds(&seen.lock().unwrap()) {
             assert!(Instant::now() < until, "{what}: {:?}", seen.lock().unwrap());
@@ -392,7 +395,7 @@
     signal(&gateway, "-HUP");
     std::thread::sleep(Duration::from_millis(200));
     drop(client);
-    let told = |seen: &[(usize, String)]| seen.iter().filter(|(n, _)| *n == reader).count() >= 2;
+    let told = |seen: &[Came]| seen.iter().filter(|(n, _)| *n == reader).count() >= 2;
     wait_for("its reader is told", &told);
     drop(gateway);
     std::fs::remove_dir_all(&folder).unwrap();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -18,12 +18,14 @@
 use petrelshore_settings::Settings;
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{debug, info, warn};
 
+/// Addresses that are remembered of servers that left the inventory: states that they hold are still let go of.
+const MOST_FORMER: usize = 1_024;
 /// Texts kept for a client that does not take them, before its writer is held back.
 const TEXTS: usize = 16;
 /// Why a list was not taken; the one before stays.
@@ -70,6 +72,8 @@
     membership: RefCell<Membership>,
     guard: RefCell<Guard>,
     addresses: RefCell<BTreeMap<ServerId, SocketAddr>>,
+    /// Where servers were reached that are listed no more, the last to leave at the end: they may run on.
+    former: RefCell<VecDeque<(ServerId, SocketAddr)>>,
     tickets: RefCell<HashMap<SeqId, Ticket>>,
     timers: Timers,
     /// A list that could not be kept is being stored again.
@@ -108,6 +112,7 @@
             membership: RefCell::new(membership),
             guard: RefCell::default(),
             addresses: RefCell::default(),
+            former: RefCell::default(),
             tickets: RefCell::default(),
             timers: Timers::default(),
             storing: Cell::new(false),
@@ -421,7 +426,14 @@
         if change.scope != ListScope::Changes {
             let membership = self.membership.borrow();
             let servers = &membership.list().servers;
-            *self.addresses.borrow_mut() = servers.iter().map(|s| (s.id(), s.address)).collect();
+            let listed: BTreeMap<_, _> = servers.iter().map(|s| (s.id(), s.address)).collect();
+            let before = self.addresses.replace(listed);
+            let addresses = self.addresses.borrow();
+            let mut former = self.former.borrow_mut();
+            former.extend(before);
+            former.retain(|(id, _)| !addresses.contains_key(id));
+            let past = former.len().saturating_sub(MOST_FORMER);
+            former.drain(..past);
             self.client.keep_only(|address| servers.iter().any(|server| server.address == *address));
         }
     }
@@ -467,7 +479,12 @@
 
     /// Tells a reader once. The desk has it told again until it has answered, or is known to hold nothing.
     fn let_go(self: &Rc<Self>, release: Release) {
-        let Some(to) = self.addresses.borrow().get(&release.server).copied() else {
+        let listed = self.addresses.borrow().get(&release.server).copied();
+        let former = || {
+            let former = self.former.borrow();
+            former.iter().rev().find(|(id, _)| *id == release.server).map(|(_, address)| *address)
+        };
+        let Some(to) = listed.or_else(former) else {
             return self.desk.borrow_mut().let_go(self.clock.now(), &release, Word::Gone);
         };
         let inner = self.clone();
