--- a/capacity/src/slopes.rs
+++ b/capacity/src/slopes.rs
@@ -310,7 +310,7 @@
         let list = serde_json::from_str(text).ok().and_then(|json| endpoint_list::decode(&json, &names).ok());
         decode.push(from.elapsed());
         let Some(list) = list else { continue };
-        let endpoints: Vec<Endpoint> = list.entries.into_iter().map(|(endpoint, _)| endpoint).collect();
+        let endpoints: Vec<Endpoint> = list.entries.into_iter().map(|listed| listed.endpoint).collect();
         let (now, from) = (gateway.now(), Instant::now());
         gateway.manager().update_endpoints(now, list.scope, &endpoints);
         apply.push(from.elapsed());
--- a/chat-gateway/src/attempts.rs
+++ b/chat-gateway/src/attempts.rs
@@ -11,7 +11,6 @@
 use serde_json::value::RawValue;
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::debug;
 
 const NANOS_PER_SECOND: f64 = 1e9;
 
@@ -65,14 +64,7 @@
             Err(ending) => return self.attempt_ended(dispatch, ending, reply.load),
         };
         let cached_tokens = result.cached_tokens;
-        debug!(
-            request_id = dispatch.id.0,
-            attempt = dispatch.attempt,
-            step = ?dispatch.step,
-            server = dispatch.server.0,
-            outcome = ?AttemptEnd::PrefillDone { cached_tokens },
-            "attempt finished"
-        );
+        self.log_attempt_end(&dispatch, AttemptEnd::PrefillDone { cached_tokens });
         self.load_reported(dispatch.server, reply.load);
         self.detach_attempt_task(dispatch.id, dispatch.attempt);
         self.apply(|requests, now, commands| {
@@ -133,14 +125,7 @@
     }
 
     fn attempt_ended(self: &Rc<Self>, dispatch: Dispatch, ending: AttemptEnd, load: Option<Load>) {
-        debug!(
-            request_id = dispatch.id.0,
-            attempt = dispatch.attempt,
-            step = ?dispatch.step,
-            server = dispatch.server.0,
-            outcome = ?ending,
-            "attempt finished"
-        );
+        self.log_attempt_end(&dispatch, ending);
         self.load_reported(dispatch.server, load);
         self.detach_attempt_task(dispatch.id, dispatch.attempt);
         if ending == AttemptEnd::NotConnected {
--- a/chat-gateway/src/commands.rs
+++ b/chat-gateway/src/commands.rs
@@ -2,11 +2,11 @@
 
 use crate::state::{GatewayState, Requests};
 use petrelshore::interface::SequenceId;
+use petrelshore_gateway_core::CancelReason;
 use petrelshore_gateway_core::buffered::{Command, FinalAnswer};
 use petrelshore_runtime::{EventDriven, EventLoop};
 use serde_json::value::RawValue;
 use std::rc::Rc;
-use tracing::debug;
 
 impl EventDriven for GatewayState {
     type Requests = Requests;
@@ -18,7 +18,7 @@
     fn execute(self: &Rc<Self>, command: Command<Rc<RawValue>>) {
         match command {
             Command::Send(outgoing) => self.send_attempt(*outgoing),
-            Command::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
+            Command::Cancel { id, attempt, reason } => self.cancel_attempt(id, attempt, reason),
             Command::Release(release) => self.send_release(release),
             Command::Answer { id, last } => self.finish_answer(id, last),
         }
@@ -27,7 +27,8 @@
 
 impl GatewayState {
     /// Cancels an attempt by closing its connection.
-    fn cancel_attempt(self: &Rc<Self>, id: SequenceId, attempt: usize) {
+    fn cancel_attempt(self: &Rc<Self>, id: SequenceId, attempt: usize, reason: CancelReason) {
+        self.log_attempt_cancelled(id, attempt, reason);
         let task = self.take_attempt_task(id, attempt);
         // Dropping its task closes its connection.
         drop(task);
@@ -36,7 +37,7 @@
 
     /// The one final answer: the ingress reads it once it has read all texts before it.
     fn finish_answer(&self, id: SequenceId, outcome: FinalAnswer) {
-        debug!(request_id = id.0, ?outcome, "request finished");
+        self.log_final_answer(id, &outcome);
         if let Some(entry) = self.entries.borrow_mut().get_mut(&id) {
             entry.final_answer = Some(outcome);
             entry.texts.close();
--- /dev/null
+++ b/chat-gateway/src/event_log.rs
@@ -0,0 +1,59 @@
+//! The events that are logged by default: what went wrong with which request, and why, within a budget.
+
+use crate::state::GatewayState;
+use petrelshore::interface::SequenceId;
+use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
+use petrelshore_gateway_core::buffered::FinalAnswer;
+use petrelshore_gateway_core::cache_releases::CacheRelease;
+use petrelshore_gateway_core::event_budget::EventKind;
+use petrelshore_gateway_core::{CancelReason, Dispatch};
+use tracing::{debug, info};
+
+impl GatewayState {
+    fn may_log(&self, kind: EventKind) -> bool {
+        self.event_budget.borrow_mut().admit(self.event_loop.now(), kind)
+    }
+
+    /// Logs how an attempt ended.
+    pub(crate) fn log_attempt_end(&self, dispatch: &Dispatch, end: AttemptEnd) {
+        let Dispatch { id, attempt, server, step, holds_cache, .. } = *dispatch;
+        let succeeded = matches!(end, AttemptEnd::Completed | AttemptEnd::PrefillDone { .. });
+        let (request_id, server) = (id.0, server.0);
+        if !succeeded && self.may_log(EventKind::AttemptFailed) {
+            info!(request_id, attempt, ?step, server, outcome = ?end, holds_cache, "attempt failed");
+        } else {
+            debug!(request_id, attempt, ?step, server, outcome = ?end, "attempt finished");
+        }
+    }
+
+    /// Logs that an attempt was cancelled.
+    pub(crate) fn log_attempt_cancelled(&self, id: SequenceId, attempt: usize, reason: CancelReason) {
+        let kind = match reason {
+            CancelReason::TimedOut | CancelReason::ClientStalled => EventKind::AttemptFailed,
+            CancelReason::ClientLeft | CancelReason::ShuttingDown => EventKind::AttemptCancelled,
+        };
+        if self.may_log(kind) {
+            info!(request_id = id.0, attempt, ?reason, "attempt cancelled");
+        }
+    }
+
+    /// Logs what became of a release request.
+    pub(crate) fn log_release(&self, release: &CacheRelease, outcome: Result<(), AttemptEnd>) {
+        let (server, server_request_id) = (release.server.0, &release.request_id);
+        if outcome.is_err() && self.may_log(EventKind::ReleaseDelayed) {
+            info!(server, %server_request_id, ?outcome, "release failed, it is sent again");
+        } else {
+            debug!(server, %server_request_id, ?outcome, "release attempted");
+        }
+    }
+
+    /// Logs the final answer of a request.
+    pub(crate) fn log_final_answer(&self, id: SequenceId, outcome: &FinalAnswer) {
+        let completed = matches!(outcome, FinalAnswer::Completed { .. });
+        if !completed && self.may_log(EventKind::RequestFailed) {
+            info!(request_id = id.0, ?outcome, "request failed");
+        } else {
+            debug!(request_id = id.0, ?outcome, "request finished");
+        }
+    }
+}
--- a/chat-gateway/src/gateway.rs
+++ b/chat-gateway/src/gateway.rs
@@ -46,6 +46,7 @@
         let gateway = Gateway(Rc::new(GatewayState {
             client: Client::new(spawner.clone(), &settings.name),
             event_loop: EventLoop::new(clock, requests),
+            event_budget: RefCell::default(),
             membership: RefCell::new(membership),
             guard: RefCell::default(),
             addresses: RefCell::default(),
--- a/chat-gateway/src/lib.rs
+++ b/chat-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod attempts;
 mod commands;
 mod endpoints;
+mod event_log;
 mod gateway;
 mod generation_request;
 mod releases;
--- a/chat-gateway/src/releases.rs
+++ b/chat-gateway/src/releases.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tracing::debug;
 
 impl GatewayState {
     /// Starts the release task, which asks a server once. The request table has it repeated until the server has
@@ -19,13 +18,7 @@
         let timeout = Duration::from_nanos(self.event_loop.requests().release_timeout());
         self.spawner.run(async move {
             let outcome = state.client.release(address, &release.request_id, timeout).await;
-            debug!(
-                server = release.server.0,
-                server_request_id = %release.request_id,
-                %address,
-                ?outcome,
-                "release attempted"
-            );
+            state.log_release(&release, outcome);
             // A connection that did not come up in time proves nothing of what its server holds.
             if outcome.is_ok() {
                 state.release_finished(&release, ReleaseOutcome::Acknowledged);
--- a/chat-gateway/src/state.rs
+++ b/chat-gateway/src/state.rs
@@ -5,6 +5,7 @@
 use petrelshore::interface::{SequenceId, ServerId};
 use petrelshore_engine_client::Client;
 use petrelshore_gateway_core::buffered::{BufferedRequests, FinalAnswer};
+use petrelshore_gateway_core::event_budget::EventBudget;
 use petrelshore_inventory::{ChangeGuard, Membership};
 use petrelshore_runtime::{AttemptSlot, EventLoop, Spawner};
 use petrelshore_settings::Settings;
@@ -40,6 +41,7 @@
     pub(crate) event_loop: EventLoop<Requests>,
     pub(crate) spawner: Spawner,
     pub(crate) client: Client,
+    pub(crate) event_budget: RefCell<EventBudget>,
     /// The endpoint list. Changed when it is reloaded, and by attempt tasks that learn of a server's start or absence.
     pub(crate) membership: RefCell<Membership>,
     /// Changed when the list is reloaded.
--- a/cli/src/platform/mod.rs
+++ b/cli/src/platform/mod.rs
@@ -99,6 +99,7 @@
     loop {
         Timer::after(STATUS_LOG_INTERVAL).await;
         let connections = gateway.connection_counts();
+        let events = gateway.events();
         info!(
             in_flight = gateway.tracked(),
             clients = clients.connections(),
@@ -107,6 +108,8 @@
             pending_releases = connections.pending_releases,
             counts = ?gateway.counts(),
             violations = ?gateway.violations(),
+            events = ?events.counts(),
+            unlogged = events.unlogged(),
             "status"
         );
     }
--- a/gateway-core/src/lib.rs
+++ b/gateway-core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - Connections: [`connection_pool`] to model servers, [`client_connections`] from clients, [`flow_control`] and
 //!   [`http2_abuse`] for connections that carry many streams.
 //! - [`graceful_shutdown`] plans the time from the stop signal to the exit, and [`error_response`] words the errors.
+//! - [`event_budget`] bounds how many single events are logged.
 //! - [`invariants`] counts violations at run time, and [`settings_validation`] tells whether settings can keep the rules.
 
 pub mod attempt_outcome;
@@ -24,6 +25,7 @@
 pub mod client_connections;
 pub mod connection_pool;
 pub mod error_response;
+pub mod event_budget;
 pub mod fingerprint;
 pub mod flow_control;
 pub mod graceful_shutdown;
@@ -42,6 +44,6 @@
 
 pub use policy::Chooser;
 pub use request_manager::{
-    Action, Counts, Dispatch, FailureReason, Finality, NewSequence, Relay, RequestManager,
+    Action, CancelReason, Counts, Dispatch, FailureReason, Finality, NewSequence, Relay, RequestManager,
 };
 pub use request_table::{buffered, passthrough};
--- a/gateway-core/src/request_manager.rs
+++ b/gateway-core/src/request_manager.rs
@@ -16,7 +16,7 @@
 mod timer_queue;
 mod tracked_sequence;
 
-pub use action::{Action, Counts, Dispatch, FailureReason, Finality};
+pub use action::{Action, CancelReason, Counts, Dispatch, FailureReason, Finality};
 pub use new_sequence::{NewSequence, Relay};
 
 use crate::attempt_outcome::is_open;
@@ -110,7 +110,8 @@
         if let Some(attempt) = tracked.sequence.attempts.len().checked_sub(1) {
             let last = &tracked.sequence.attempts[attempt];
             if is_open(last) {
-                actions.push(Action::Cancel { id, attempt, server: last.server, step: last.step });
+                let (server, step, reason) = (last.server, last.step, CancelReason::ClientLeft);
+                actions.push(Action::Cancel { id, attempt, server, step, reason });
             }
         }
         actions.push(Action::Release { id });
--- a/gateway-core/src/request_manager/action.rs
+++ b/gateway-core/src/request_manager/action.rs
@@ -51,6 +51,19 @@
     AlreadyRan,
 }
 
+/// Why an attempt was cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelReason {
+    /// Its time was over, or its stream was silent for too long.
+    TimedOut,
+    /// The client read nothing of its stream for too long.
+    ClientStalled,
+    /// The client left.
+    ClientLeft,
+    /// The gateway shuts down.
+    ShuttingDown,
+}
+
 /// What the caller is to do, in this order.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -66,6 +79,8 @@
         server: ServerId,
         /// What that server was to do.
         step: Step,
+        /// Why it is cancelled.
+        reason: CancelReason,
     },
     /// Release every KV cache reserved for the sequence that no attempt is to fetch.
     Release {
--- a/gateway-core/src/request_manager/expiry.rs
+++ b/gateway-core/src/request_manager/expiry.rs
@@ -1,7 +1,7 @@
 //! Timers of sequences: setting them, and what follows when one expires.
 
 use super::RequestManager;
-use super::action::{Action, FailureReason, Finality};
+use super::action::{Action, CancelReason, FailureReason, Finality};
 use super::attempts::FinishedAttempt;
 use super::new_sequence::Relay;
 use super::tracked_sequence::TrackedSequence;
@@ -61,10 +61,13 @@
         let Some(tracked) = self.sequences.get(&id) else { return };
         let Attempt { server, step, status, .. } = tracked.sequence.attempts[attempt];
         self.counts.timed_out += 1;
-        actions.push(Action::Cancel { id, attempt, server, step });
         let streaming = status == AttemptStatus::Streaming;
         // A stalled client is no evidence against its decode server.
-        let end = if tracked.stalled_since.is_some() { AttemptEnd::Cancelled } else { AttemptEnd::TimedOut };
+        let (cancel_reason, end) = match tracked.stalled_since {
+            Some(_) => (CancelReason::ClientStalled, AttemptEnd::Cancelled),
+            None => (CancelReason::TimedOut, AttemptEnd::TimedOut),
+        };
+        actions.push(Action::Cancel { id, attempt, server, step, reason: cancel_reason });
         let client_has_tokens = tracked.relay != Relay::Buffered;
         let unresumable = now >= tracked.completion_deadline || reason == FailureReason::ClientStalled;
         let ends_sequence = streaming && (unresumable || (client_has_tokens && !self.try_resume(now, id)));
--- a/gateway-core/src/request_manager/shutdown.rs
+++ b/gateway-core/src/request_manager/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown: draining, moving streams to other gateways, and terminating what is left.
 
 use super::RequestManager;
-use super::action::{Action, FailureReason};
+use super::action::{Action, CancelReason, FailureReason};
 use super::new_sequence::Relay;
 use super::tracked_sequence::TrackedSequence;
 use crate::attempt_outcome::is_open;
@@ -67,7 +67,8 @@
             return self.schedule(now, id, reason, actions);
         };
         let Attempt { server, step, status, .. } = sequence.attempts[attempt];
-        actions.push(Action::Cancel { id, attempt, server, step });
+        let cancel_reason = CancelReason::ShuttingDown;
+        actions.push(Action::Cancel { id, attempt, server, step, reason: cancel_reason });
         let client_has_tokens = status == AttemptStatus::Streaming && tracked.relay != Relay::Buffered;
         match self.policy.attempt_finished(now, sequence, attempt, Outcome::Cancelled, client_has_tokens) {
             NextStep::Complete { .. } => {
--- a/gateway-core/src/request_table/action_handler.rs
+++ b/gateway-core/src/request_table/action_handler.rs
@@ -3,7 +3,7 @@
 use super::final_answer::FinalAnswer;
 use super::store::RequestStore;
 use crate::cache_releases::CacheRelease;
-use crate::request_manager::{Action, Dispatch, FailureReason, RequestManager};
+use crate::request_manager::{Action, CancelReason, Dispatch, FailureReason, RequestManager};
 use petrelshore::interface::{Nanos, Outcome, SequenceId, ServerId, Step};
 
 /// An attempt that the request manager cancelled.
@@ -12,6 +12,7 @@
     pub(super) attempt: usize,
     pub(super) server: ServerId,
     pub(super) step: Step,
+    pub(super) reason: CancelReason,
 }
 
 /// A request table, as far as it applies actions. The provided methods are the same for all tables.
@@ -66,8 +67,8 @@
             next += 1;
             match action {
                 Action::Send(dispatch) => self.send(dispatch, commands),
-                Action::Cancel { id, attempt, server, step } => {
-                    let cancelled = CancelledAttempt { id, attempt, server, step };
+                Action::Cancel { id, attempt, server, step, reason } => {
+                    let cancelled = CancelledAttempt { id, attempt, server, step, reason };
                     self.cancel(now, cancelled, &mut actions, commands);
                     affected.push(id);
                 }
--- a/gateway-core/src/request_table/buffered/actions.rs
+++ b/gateway-core/src/request_table/buffered/actions.rs
@@ -40,8 +40,8 @@
         _follow_up: &mut Vec<Action>,
         commands: &mut Vec<Command<P>>,
     ) {
-        let CancelledAttempt { id, attempt, server, step } = cancelled;
-        commands.push(Command::Cancel { id, attempt });
+        let CancelledAttempt { id, attempt, server, step, reason } = cancelled;
+        commands.push(Command::Cancel { id, attempt, reason });
         if step == Step::Prefill {
             // It may have completed just then, and its KV cache be held.
             let release = CacheRelease { server, request_id: request_id(id, attempt) };
--- a/gateway-core/src/request_table/buffered/command.rs
+++ b/gateway-core/src/request_table/buffered/command.rs
@@ -2,7 +2,7 @@
 
 use super::message::FinalAnswer;
 use crate::cache_releases::CacheRelease;
-use crate::request_manager::Dispatch;
+use crate::request_manager::{CancelReason, Dispatch};
 use petrelshore::interface::SequenceId;
 use std::rc::Rc;
 
@@ -17,6 +17,8 @@
         id: SequenceId,
         /// The attempt.
         attempt: usize,
+        /// Why.
+        reason: CancelReason,
     },
     /// Tell a prefill server to release a KV cache, and report its answer.
     Release(CacheRelease),
--- a/gateway-core/src/request_table/passthrough/actions.rs
+++ b/gateway-core/src/request_table/passthrough/actions.rs
@@ -35,14 +35,14 @@
         follow_up: &mut Vec<Action>,
         commands: &mut Vec<Command<M>>,
     ) {
-        let CancelledAttempt { id, attempt, server, step } = cancelled;
+        let CancelledAttempt { id, attempt, server, step, reason } = cancelled;
         if let Some(entry) = self.store.get_mut(id) {
             entry.attempt_in_flight.take_if(|in_flight| *in_flight == attempt);
             if step == Step::Prefill {
                 entry.leases.prefill_ended(server, AttemptEnd::Cancelled);
             }
         }
-        commands.push(Command::Cancel { id, attempt });
+        commands.push(Command::Cancel { id, attempt, reason });
         self.store.manager.attempt_ended(now, id, attempt, AttemptEnd::Cancelled, follow_up);
     }
 
--- a/gateway-core/src/request_table/passthrough/command.rs
+++ b/gateway-core/src/request_table/passthrough/command.rs
@@ -1,7 +1,7 @@
 //! What the passthrough request table tells its runtime to do.
 
 use crate::cache_releases::CacheRelease;
-use crate::request_manager::Dispatch;
+use crate::request_manager::{CancelReason, Dispatch};
 use crate::request_table::final_answer::FinalAnswer;
 use petrelshore::interface::{Nanos, SequenceId};
 use std::net::SocketAddr;
@@ -37,6 +37,8 @@
         id: SequenceId,
         /// The attempt.
         attempt: usize,
+        /// Why.
+        reason: CancelReason,
     },
     /// Tell a prefill server to release a KV cache, and report its answer.
     Release(CacheRelease),
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -12,7 +12,7 @@
 };
 use petrelshore_gateway_core::cache_releases::ReleaseOutcome;
 use petrelshore_gateway_core::token_estimate::{Message, estimate_prompt};
-use petrelshore_gateway_core::{Chooser, FailureReason, Relay};
+use petrelshore_gateway_core::{CancelReason, Chooser, FailureReason, Relay};
 use std::rc::Rc;
 
 const MS: Nanos = 1_000_000;
@@ -179,7 +179,8 @@
     let (id, decode) = accept_and_prefill(&mut requests, request(1, Some("k")));
     let mut commands = Vec::new();
     requests.client_cancelled(2 * MS, id, &mut commands);
-    assert!(commands.contains(&Command::Cancel { id, attempt: decode.dispatch.attempt }), "{commands:?}");
+    let (attempt, reason) = (decode.dispatch.attempt, CancelReason::ClientLeft);
+    assert!(commands.contains(&Command::Cancel { id, attempt, reason }), "{commands:?}");
     requests.attempt_cancelled(2 * MS, id, decode.dispatch.attempt, &mut commands);
     let released = commands.iter().find_map(|command| match command {
         Command::Release(release) => Some(release.clone()),
--- a/gateway-core/tests/passthrough/random_faults.rs
+++ b/gateway-core/tests/passthrough/random_faults.rs
@@ -67,7 +67,7 @@
                         let attempt = InFlightAttempt { dispatch, delivered: false, connect_deadline };
                         observed.entry(dispatch.id).or_default().in_flight = Some(attempt);
                     }
-                    Command::Cancel { id, attempt } => {
+                    Command::Cancel { id, attempt, .. } => {
                         let observed = observed.entry(id).or_default();
                         observed.in_flight.take_if(|in_flight| in_flight.dispatch.attempt == attempt);
                     }
--- a/gateway-core/tests/passthrough/releases.rs
+++ b/gateway-core/tests/passthrough/releases.rs
@@ -3,6 +3,7 @@
 use crate::common::{MS, S, START, deployment};
 use crate::fixtures::{accept_prefill, at, endpoint, releases, requests, sent_dispatch, with_decode_servers};
 use petrelshore::interface::{Deployment, Endpoint, EndpointState, SequenceId, ServerId, SnapshotKind, Step};
+use petrelshore_gateway_core::CancelReason;
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
 use petrelshore_gateway_core::cache_releases::CacheRelease;
 use petrelshore_gateway_core::passthrough::{Command, FinalAnswer, PassthroughRequests};
@@ -183,7 +184,11 @@
     let release = CacheRelease { server: prefill.server, request_id: format!("{:016x}", id.0) };
     assert_eq!(
         commands,
-        [Command::Cancel { id, attempt: 0 }, Command::Release(release.clone()), Command::Remove { id }]
+        [
+            Command::Cancel { id, attempt: 0, reason: CancelReason::ClientLeft },
+            Command::Release(release.clone()),
+            Command::Remove { id }
+        ]
     );
     let relays: Vec<ServerId> = requests.release_relays(&release).iter().map(|(relay, _)| *relay).collect();
     assert!(relays.len() == 2 && !relays.contains(&prefill.server), "{relays:?}");
--- a/platform-engine-client/src/client.rs
+++ b/platform-engine-client/src/client.rs
@@ -5,6 +5,7 @@
 use crate::request::{AttemptRequest, Reply, SendPermission};
 use crate::response::Response;
 use crate::stream::Stream;
+use crate::trace::ExchangeTrace;
 use async_io::Timer;
 use futures_lite::future;
 use petrelshore::interface::Nanos;
@@ -76,7 +77,8 @@
         send_check: &dyn Fn() -> SendPermission,
     ) -> Result<(), AttemptEnd> {
         let encode = || format!("DELETE /kv/leases/{id} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes();
-        let request = Outgoing { encode: &encode, on_delivered: &|| {} };
+        let trace = ExchangeTrace::default();
+        let request = Outgoing { encode: &encode, on_delivered: &|| {}, trace: &trace };
         let released = async {
             let connect_timeout = timeout;
             let route =
@@ -125,7 +127,7 @@
             new_connection: request.new_connection,
             send_check: &*request.send_check,
         };
-        self.0.exchange(&route, &Outgoing { encode: &encode, on_delivered }).await
+        self.0.exchange(&route, &Outgoing { encode: &encode, on_delivered, trace: &request.trace }).await
     }
 }
 
--- a/platform-engine-client/src/exchange.rs
+++ b/platform-engine-client/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::connections::{CheckedOut, Connections, PooledConnection};
 use crate::request::SendPermission;
 use crate::response::Response;
+use crate::trace::{ConnectionSource, ExchangeTrace};
 use async_io::Timer;
 use futures_lite::future;
 use petrelshore::interface::Nanos;
@@ -34,6 +35,16 @@
     pub(crate) encode: &'a dyn Fn() -> Vec<u8>,
     /// Called once the server provably has the request.
     pub(crate) on_delivered: &'a dyn Fn(),
+    /// Its progress.
+    pub(crate) trace: &'a ExchangeTrace,
+}
+
+impl Outgoing<'_> {
+    /// A running server provably has the request.
+    fn delivered(&self) {
+        self.trace.delivered();
+        (self.on_delivered)();
+    }
 }
 
 /// How writing a request ended.
@@ -72,8 +83,9 @@
         pooled: CheckedOut,
     ) -> Option<Result<Response, AttemptEnd>> {
         let CheckedOut { connection, idle_time } = pooled;
+        request.trace.connected(ConnectionSource::Pooled);
         match write_within(&connection, &(request.encode)(), route.connect_timeout / 2).await {
-            WriteOutcome::Complete => {}
+            WriteOutcome::Complete => request.trace.written(),
             WriteOutcome::Broken => {
                 self.reuse_failed(route.address, idle_time);
                 return None;
@@ -85,7 +97,7 @@
         }
         let response = Response::read(connection);
         let result = match route.holds_cache {
-            true => self.await_with_liveness_proof(route, response, request.on_delivered).await,
+            true => self.await_with_liveness_proof(route, request, response).await,
             false => response.await,
         };
         match result {
@@ -104,6 +116,7 @@
     ) -> Result<Response, AttemptEnd> {
         let started = self.now();
         let connection = self.connect(route.address, route.connect_timeout).await?;
+        request.trace.connected(ConnectionSource::New);
         let connect_time = self.now().saturating_sub(started);
         if let Err(end) = (route.send_check)().require() {
             self.check_in_unused(route.address, connection);
@@ -113,12 +126,13 @@
         if write_within(&connection, &(request.encode)(), remaining).await != WriteOutcome::Complete {
             return Err(AttemptEnd::NotConnected);
         }
+        request.trace.written();
         let response = Response::read(connection);
         if route.holds_cache {
             // The server may have fallen silent right after the connection was established.
-            return self.await_with_liveness_proof(route, response, request.on_delivered).await;
+            return self.await_with_liveness_proof(route, request, response).await;
         }
-        await_past_round_trip(response, connect_time, request.on_delivered).await
+        await_past_round_trip(request, response, connect_time).await
     }
 
     /// Waits for a response on a connection whose other machine may have fallen silent: what is written to it then never
@@ -128,8 +142,8 @@
     async fn await_with_liveness_proof(
         &self,
         route: &Route<'_>,
+        request: &Outgoing<'_>,
         response: impl Future<Output = Result<Response, AttemptEnd>>,
-        on_delivered: &dyn Fn(),
     ) -> Result<Response, AttemptEnd> {
         let mut response = pin!(response);
         let proof_timeout = route.connect_timeout / 2;
@@ -140,7 +154,7 @@
         match future::or(async { Ok(response.as_mut().await) }, proof).await {
             Ok(result) => result,
             Err(Ok(connection)) => {
-                on_delivered();
+                request.delivered();
                 self.check_in_unused(route.address, connection);
                 response.await
             }
@@ -165,9 +179,9 @@
 /// resets it within one round trip, which establishing the connection took too: until then nothing proves that the
 /// server had the request.
 async fn await_past_round_trip(
+    request: &Outgoing<'_>,
     response: impl Future<Output = Result<Response, AttemptEnd>>,
     round_trip: Nanos,
-    on_delivered: &dyn Fn(),
 ) -> Result<Response, AttemptEnd> {
     let mut response = pin!(response);
     let survived = async {
@@ -177,11 +191,11 @@
     match future::or(async { Some(response.as_mut().await) }, survived).await {
         Some(Err(AttemptEnd::Reset)) => Err(AttemptEnd::Reset),
         Some(result) => {
-            on_delivered();
+            request.delivered();
             result
         }
         None => {
-            on_delivered();
+            request.delivered();
             response.await
         }
     }
--- a/platform-engine-client/src/lib.rs
+++ b/platform-engine-client/src/lib.rs
@@ -10,8 +10,10 @@
 mod request;
 mod response;
 mod stream;
+mod trace;
 
 pub use client::Client;
 pub use connections::ConnectionCounts;
 pub use request::{AttemptRequest, OVERRIDDEN_FIELDS, Reply, SendCheck, SendPermission};
 pub use stream::Stream;
+pub use trace::{ConnectionSource, Delivery, ExchangeTrace};
--- a/platform-engine-client/src/request.rs
+++ b/platform-engine-client/src/request.rs
@@ -1,5 +1,6 @@
 //! What a caller asks of a client, and what it gets back.
 
+use crate::trace::ExchangeTrace;
 use bytes::Bytes;
 use petrelshore::interface::{LoadReport, Nanos};
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
@@ -35,6 +36,8 @@
     pub new_connection: bool,
     /// Called right before its first byte is sent.
     pub send_check: SendCheck,
+    /// Its progress, for whoever cancels it.
+    pub trace: Rc<ExchangeTrace>,
 }
 
 /// Whether a request may be sent, as of the instant before its first byte is written. Its connection may have been
--- a/platform-engine-client/tests/server_behaviour/support.rs
+++ b/platform-engine-client/tests/server_behaviour/support.rs
@@ -32,6 +32,7 @@
         holds_cache: false,
         new_connection: false,
         send_check: Rc::new(|| SendPermission::Granted),
+        trace: Rc::default(),
     }
 }
 
--- a/platform-gateway/src/answer.rs
+++ b/platform-gateway/src/answer.rs
@@ -1,5 +1,6 @@
 //! The answer to a request, as the ingress reads it.
 
+use crate::event_log::RequestId;
 use crate::state::{GatewayState, RequestEntry};
 use async_channel::Receiver;
 use bytes::Bytes;
@@ -48,7 +49,7 @@
         // Once this request is completed, its id may have been used for another: that one is another client's.
         let is_own = |entry: &RequestEntry| Rc::ptr_eq(&entry.final_answer, &self.final_answer);
         if !self.completed && self.state.entries.borrow().get(&self.id).is_some_and(is_own) {
-            debug!(request_id = self.id.0, "client disconnected");
+            debug!(request_id = %RequestId(self.id), "client disconnected");
             self.state.apply(|requests, now, commands| requests.client_cancelled(now, self.id, commands));
         }
     }
--- a/platform-gateway/src/attempts.rs
+++ b/platform-gateway/src/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts at model servers: one attempt task each, from the command that sends it to its end.
 
+use crate::event_log::{AttemptLog, RequestId};
 use crate::forwarded_request::ForwardedRequest;
 use crate::state::GatewayState;
 use bytes::Bytes;
@@ -7,7 +8,7 @@
 use petrelshore_gateway_core::Dispatch;
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
 use petrelshore_gateway_core::send_gate::{PendingSend, SendDenial};
-use petrelshore_platform_engine_client::{AttemptRequest, SendCheck, SendPermission, Stream};
+use petrelshore_platform_engine_client::{AttemptRequest, ExchangeTrace, SendCheck, SendPermission, Stream};
 use petrelshore_runtime::{Delivery, EventDriven};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,22 +47,23 @@
         let Some(entry) = entries.get_mut(&dispatch.id) else { return };
         let Dispatch { id, attempt, server, step, timeout, .. } = dispatch;
         let timeout_ms = timeout / NANOS_PER_MILLISECOND;
-        debug!(request_id = id.0, attempt, ?step, server = server.0, timeout_ms, "attempt started");
+        let name = self.server_name(server);
+        debug!(request_id = %RequestId(id), attempt, ?step, server = %name, timeout_ms, "attempt started");
         let state = self.clone();
         let server_started_at = self.event_loop.requests().server_started_at(server);
         let decided_at = self.event_loop.now();
+        let log = AttemptLog { dispatch, decided_at, trace: Rc::default() };
+        entry.attempt_log = Some(log.clone());
         let task = self.spawner.spawn(async move {
             let (Some(address), Some(request)) = (address, request) else {
-                return state.attempt_ended(dispatch, AttemptEnd::NotConnected, None);
+                return state.attempt_ended(log, AttemptEnd::NotConnected, None);
             };
             let decided = DecidedAttempt { dispatch, address, decided_at, server_started_at };
-            let exchange = state.attempt_request(decided, &request);
+            let exchange = state.attempt_request(decided, &request, log.trace.clone());
             drop(request);
             match step {
-                Step::Prefill => state.prefill(dispatch, exchange).await,
-                Step::Decode | Step::MigratedDecode | Step::Combined => {
-                    state.decode(dispatch, exchange).await
-                }
+                Step::Prefill => state.prefill(log, exchange).await,
+                Step::Decode | Step::MigratedDecode | Step::Combined => state.decode(log, exchange).await,
             }
         });
         entry.attempt.start(attempt, task);
@@ -71,6 +73,7 @@
         self: &Rc<Self>,
         decided: DecidedAttempt,
         request: &ForwardedRequest,
+        trace: Rc<ExchangeTrace>,
     ) -> AttemptRequest {
         let dispatch = &decided.dispatch;
         AttemptRequest {
@@ -85,6 +88,7 @@
             holds_cache: dispatch.holds_cache,
             new_connection: dispatch.new_connection,
             send_check: self.send_check(decided, request),
+            trace,
         }
     }
 
@@ -102,7 +106,7 @@
             };
             let permitted = state.event_loop.requests().may_send(state.event_loop.now(), &pending);
             let Err(reason) = permitted else { return SendPermission::Granted };
-            debug!(request_id = dispatch.id.0, attempt = dispatch.attempt, ?reason, "attempt denied");
+            state.log_denial(dispatch, reason);
             match reason {
                 SendDenial::ClientLeft => SendPermission::ClientLeft,
                 _ => SendPermission::Denied,
@@ -112,33 +116,35 @@
 
     /// The server provably has the request of an attempt.
     fn attempt_delivered(&self, dispatch: &Dispatch) {
-        debug!(request_id = dispatch.id.0, attempt = dispatch.attempt, "attempt delivered");
+        debug!(request_id = %RequestId(dispatch.id), attempt = dispatch.attempt, "attempt delivered");
         self.event_loop.requests_mut().attempt_delivered(dispatch.id, dispatch.attempt);
     }
 
     /// The attempt task of a prefill.
-    async fn prefill(self: Rc<Self>, dispatch: Dispatch, request: AttemptRequest) {
+    async fn prefill(self: Rc<Self>, log: AttemptLog, request: AttemptRequest) {
+        let dispatch = log.dispatch;
         let reply = self.client.prefill(&request, &|| self.attempt_delivered(&dispatch)).await;
         let ending = match reply.result {
             Ok(cached_tokens) => AttemptEnd::PrefillDone { cached_tokens },
             Err(AttemptEnd::ReturnedUnsent) => return self.client_left_before_send(dispatch.id),
             Err(ending) => ending,
         };
-        self.attempt_ended(dispatch, ending, reply.load);
+        self.attempt_ended(log, ending, reply.load);
     }
 
     /// The attempt task of any step that decodes.
-    async fn decode(self: Rc<Self>, dispatch: Dispatch, request: AttemptRequest) {
+    async fn decode(self: Rc<Self>, log: AttemptLog, request: AttemptRequest) {
+        let dispatch = log.dispatch;
         let reply = self.client.decode(&request, &|| self.attempt_delivered(&dispatch)).await;
         drop(request);
         let mut stream = match reply.result {
             Ok(stream) => stream,
             Err(AttemptEnd::ReturnedUnsent) => return self.client_left_before_send(dispatch.id),
-            Err(ending) => return self.attempt_ended(dispatch, ending, reply.load),
+            Err(ending) => return self.attempt_ended(log, ending, reply.load),
         };
         self.load_reported(dispatch.server, reply.load);
         if let StreamEnd::Ended(ending) = self.forward_stream(dispatch, &mut stream).await {
-            self.attempt_ended(dispatch, ending, stream.load);
+            self.attempt_ended(log, ending, stream.load);
         }
     }
 
@@ -174,20 +180,14 @@
 
     /// A client left before its attempt was sent: nothing is sent for it any more.
     fn client_left_before_send(self: &Rc<Self>, id: SequenceId) {
-        debug!(request_id = id.0, "client disconnected before its attempt was sent");
+        debug!(request_id = %RequestId(id), "client disconnected before its attempt was sent");
         self.apply(|requests, now, commands| requests.client_cancelled(now, id, commands));
     }
 
-    fn attempt_ended(self: &Rc<Self>, dispatch: Dispatch, ending: AttemptEnd, load: Option<LoadReport>) {
-        let Dispatch { id, attempt, server, step, .. } = dispatch;
-        debug!(
-            request_id = id.0,
-            attempt,
-            ?step,
-            server = server.0,
-            outcome = ?ending,
-            "attempt finished"
-        );
+    fn attempt_ended(self: &Rc<Self>, log: AttemptLog, ending: AttemptEnd, load: Option<LoadReport>) {
+        self.log_attempt_end(&log, ending);
+        let dispatch = log.dispatch;
+        let Dispatch { id, attempt, server, .. } = dispatch;
         self.load_reported(server, load);
         let mut entries = self.entries.borrow_mut();
         let own_task = entries.get_mut(&id).and_then(|entry| entry.attempt.take(attempt));
@@ -202,7 +202,7 @@
     fn load_reported(&self, server: ServerId, load: Option<LoadReport>) {
         let Some(report) = load else { return };
         let LoadReport { memory_share, queued_prompt_tokens, in_flight } = report;
-        debug!(server = server.0, memory_share, queued_prompt_tokens, in_flight, "load reported");
+        debug!(server = %self.server_name(server), memory_share, queued_prompt_tokens, in_flight, "load reported");
         let now = self.event_loop.now();
         self.event_loop.requests_mut().load_reported(now, server, report);
     }
--- a/platform-gateway/src/commands.rs
+++ b/platform-gateway/src/commands.rs
@@ -3,10 +3,10 @@
 use crate::forwarded_request::ForwardedRequest;
 use crate::state::{GatewayState, Requests};
 use petrelshore::interface::SequenceId;
+use petrelshore_gateway_core::CancelReason;
 use petrelshore_gateway_core::passthrough::{Command, FinalAnswer};
 use petrelshore_runtime::{EventDriven, EventLoop};
 use std::rc::Rc;
-use tracing::debug;
 
 impl EventDriven for GatewayState {
     type Requests = Requests;
@@ -18,7 +18,7 @@
     fn execute(self: &Rc<Self>, command: Command<Rc<ForwardedRequest>>) {
         match command {
             Command::Send { dispatch, address, message } => self.send_attempt(dispatch, address, message),
-            Command::Cancel { id, attempt } => self.cancel_attempt(id, attempt),
+            Command::Cancel { id, attempt, reason } => self.cancel_attempt(id, attempt, reason),
             Command::Release(release) => self.send_release(release),
             Command::Answer { id, last } => self.finish_answer(id, last),
             Command::Remove { id } => self.remove_request(id),
@@ -28,19 +28,22 @@
 
 impl GatewayState {
     /// Cancels an attempt by closing its connection.
-    fn cancel_attempt(&self, id: SequenceId, attempt: usize) {
-        debug!(request_id = id.0, attempt, "attempt cancelled");
+    fn cancel_attempt(&self, id: SequenceId, attempt: usize, reason: CancelReason) {
         let mut entries = self.entries.borrow_mut();
         let task = entries.get_mut(&id).and_then(|entry| entry.attempt.take(attempt));
+        let log = entries.get(&id).and_then(|entry| entry.attempt_log.clone());
         drop(entries);
+        if let Some(log) = log.filter(|log| log.dispatch.attempt == attempt) {
+            self.log_attempt_cancelled(&log, reason);
+        }
         // Dropping its task closes its connection.
         drop(task);
     }
 
     /// The one final answer: the ingress reads it once it has read all events before it.
     fn finish_answer(&self, id: SequenceId, outcome: FinalAnswer) {
-        debug!(request_id = id.0, ?outcome, "request finished");
         if let Some(entry) = self.entries.borrow().get(&id) {
+            self.log_final_answer(id, entry.accepted_at, outcome);
             entry.final_answer.set(Some(outcome));
             entry.events.close();
         }
--- a/platform-gateway/src/discovery.rs
+++ b/platform-gateway/src/discovery.rs
@@ -7,12 +7,13 @@
 use futures_lite::future;
 use list_request::{ListError, ListRequest, request_list};
 use petrelshore::interface::Nanos;
+use petrelshore_gateway_core::event_budget::EventKind;
 use petrelshore_http1::connection::HttpConnection;
 use petrelshore_platform_protocol::endpoint_list::EndpointList;
 use petrelshore_runtime::{Call, first_success};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 // A change counts as known 6 s after discovery has it and can be reached, however the requests before ended. At the most
 // there pass the rest of a watch that is out (`MAX_WATCH_TIMEOUT` + the poll interval, 2.5 s), a connection and the full
@@ -89,7 +90,9 @@
             let poll_interval = Timer::after(self.timings.poll_interval);
             let connection = self.full_list().await;
             let reason = self.follow_changes(connection).await;
-            debug!(address = %self.address, %reason, "endpoint list watch ended");
+            if self.gateway.may_log(EventKind::EndpointListChanged) {
+                info!(address = %self.address, %reason, "endpoint list watch ended");
+            }
             poll_interval.await;
         }
     }
--- a/platform-gateway/src/endpoints.rs
+++ b/platform-gateway/src/endpoints.rs
@@ -1,20 +1,31 @@
 //! The endpoint list, and where it is watched.
 
 use crate::gateway::PlatformGateway;
-use petrelshore::interface::Nanos;
+use crate::known_servers::ListChange;
+use petrelshore::interface::{Endpoint, Nanos};
+use petrelshore_gateway_core::event_budget::EventKind;
 use petrelshore_platform_protocol::endpoint_list::EndpointList;
 use std::net::SocketAddr;
-use tracing::debug;
+use tracing::{debug, info};
 
 impl PlatformGateway {
     /// Takes an endpoint list, or what has changed in it.
     pub fn update_endpoints(&self, list: EndpointList) {
         let state = &self.0;
         let now = state.event_loop.now();
-        state.event_loop.requests_mut().update_endpoints(now, list.scope, &list.entries);
+        let change = state.known_servers.borrow_mut().update(&list);
+        let entries: Vec<(Endpoint, SocketAddr)> =
+            list.entries.into_iter().map(|listed| (listed.endpoint, listed.address)).collect();
+        state.event_loop.requests_mut().update_endpoints(now, list.scope, &entries);
         let listed = state.event_loop.requests().server_addresses();
         state.client.retain_endpoints(|address| listed.contains(address));
-        debug!(index = list.index, scope = ?list.scope, entries = list.entries.len(), "endpoint list updated");
+        let (index, scope, entries) = (list.index, list.scope, entries.len());
+        if change.count > 0 && state.may_log(EventKind::EndpointListChanged) {
+            let ListChange { count: changes, named } = change;
+            info!(index, ?scope, entries, changes, changed = ?named, "endpoint list updated");
+        } else {
+            debug!(index, ?scope, entries, "endpoint list updated");
+        }
     }
 
     /// The time between the notice that a server drains and the last send to it.
--- a/platform-gateway/src/gateway.rs
+++ b/platform-gateway/src/gateway.rs
@@ -1,11 +1,13 @@
 //! The handle of a running gateway.
 
 use crate::answer::Answer;
+use crate::event_log::RequestId;
 use crate::forwarded_request::ForwardedRequest;
 use crate::state::{GatewayState, RequestEntry};
 use event_listener::Event;
 use petrelshore::interface::SnapshotKind;
 use petrelshore_gateway_core::cache_releases::RELEASE_CONNECTIONS;
+use petrelshore_gateway_core::event_budget::{EventBudget, EventKind};
 use petrelshore_gateway_core::invariants::Violation;
 use petrelshore_gateway_core::passthrough::{PassthroughRequests, Rejection};
 use petrelshore_gateway_core::{Counts, NewSequence};
@@ -51,6 +53,8 @@
             spawner,
             client,
             names: config.names,
+            known_servers: RefCell::default(),
+            event_budget: RefCell::default(),
             entries: RefCell::default(),
             request_or_release_finished: Event::new(),
             drain_grace: config.drain_grace,
@@ -72,12 +76,14 @@
             events: sender,
             final_answer: final_answer.clone(),
             attempt: AttemptSlot::default(),
+            attempt_log: None,
+            accepted_at: self.0.event_loop.now(),
         };
         let (resumed, prompt_tokens) = (new.resumed, new.prompt_tokens);
         let (session, prefix) = (new.session.map_or(0, |id| id.0), new.prefix.map_or(0, |id| id.0));
         let (mut commands, now) = (Vec::new(), state.event_loop.now());
         state.event_loop.requests_mut().accept(now, new, Rc::new(request), &mut commands)?;
-        debug!(request_id = id.0, resumed, prompt_tokens, session, prefix, "request accepted");
+        debug!(request_id = %RequestId(id), resumed, prompt_tokens, session, prefix, "request accepted");
         state.entries.borrow_mut().insert(id, entry);
         state.execute_all(commands);
         Ok(Answer { id, state: state.clone(), events, final_answer, completed: false })
@@ -98,6 +104,16 @@
         self.0.event_loop.requests().violations().clone()
     }
 
+    /// Counts an event; whether it is to be logged.
+    pub fn may_log(&self, kind: EventKind) -> bool {
+        self.0.may_log(kind)
+    }
+
+    /// The events of each kind so far, and how many of them were not logged.
+    pub fn events(&self) -> EventBudget {
+        self.0.event_budget.borrow().clone()
+    }
+
     /// How many connections to model servers there are, and how many pending releases.
     pub fn connection_counts(&self) -> ConnectionCounts {
         let petrelshore_platform_engine_client::ConnectionCounts { open, idle } =
--- a/platform-gateway/src/releases.rs
+++ b/platform-gateway/src/releases.rs
@@ -20,14 +20,10 @@
     pub(crate) fn send_release(self: &Rc<Self>, release: CacheRelease) {
         let state = self.clone();
         let pending_since = self.event_loop.requests().release_pending_since(&release);
+        let sent_at = self.event_loop.now();
         self.spawner.run(async move {
             let answered_by = state.release(&release, pending_since).await;
-            debug!(
-                server = release.server.0,
-                server_request_id = release.request_id,
-                answered_by = answered_by.map(|server| server.0),
-                "release finished"
-            );
+            state.log_release(&release, sent_at, answered_by);
             let now = state.event_loop.now();
             state.event_loop.requests_mut().release_finished(now, &release, pending_since, answered_by);
             state.request_or_release_finished.notify(usize::MAX);
@@ -79,8 +75,8 @@
             Some(address) => self.client.release(address, &release.request_id, timeout, &send_check).await,
             None => Err(AttemptEnd::NotConnected),
         };
-        let server_request_id = &release.request_id;
-        debug!(server = server.0, server_request_id, ?outcome, "release attempted");
+        let (request_id, name) = (&release.request_id, self.server_name(server));
+        debug!(%request_id, server = %name, ?outcome, "release attempted");
         outcome.is_ok().then_some(server)
     }
 }
--- a/platform-gateway/src/state.rs
+++ b/platform-gateway/src/state.rs
@@ -1,10 +1,13 @@
 //! What the tasks of a gateway share.
 
+use crate::event_log::AttemptLog;
 use crate::forwarded_request::ForwardedRequest;
+use crate::known_servers::KnownServers;
 use async_channel::Sender;
 use bytes::Bytes;
 use event_listener::Event;
 use petrelshore::interface::{Nanos, SequenceId};
+use petrelshore_gateway_core::event_budget::EventBudget;
 use petrelshore_gateway_core::passthrough::{FinalAnswer, PassthroughRequests};
 use petrelshore_platform_engine_client::Client;
 use petrelshore_platform_protocol::settings::Names;
@@ -26,6 +29,9 @@
     pub(crate) final_answer: Rc<Cell<Option<FinalAnswer>>>,
     /// Filled when an attempt is sent; emptied by its attempt task at its end, or by whoever cancels it.
     pub(crate) attempt: AttemptSlot,
+    /// Of the attempt that was sent last.
+    pub(crate) attempt_log: Option<AttemptLog>,
+    pub(crate) accepted_at: Nanos,
 }
 
 /// State shared by the tasks of one gateway and by the ingress, all on one thread. No borrow is held across an await.
@@ -35,6 +41,9 @@
     pub(crate) spawner: Spawner,
     pub(crate) client: Client,
     pub(crate) names: Names,
+    /// Set by the watch task; read where a server is logged.
+    pub(crate) known_servers: RefCell<KnownServers>,
+    pub(crate) event_budget: RefCell<EventBudget>,
     /// Added to by the ingress's tasks on acceptance; changed and removed by whichever task executes commands.
     pub(crate) entries: RefCell<HashMap<SequenceId, RequestEntry>>,
     /// Notified when a request is removed, and by a release task at its end.
--- a/platform-ingress/src/connection.rs
+++ b/platform-ingress/src/connection.rs
@@ -7,10 +7,10 @@
 use crate::response::{self, Persistence};
 use async_io::Timer;
 use futures_lite::future;
-use petrelshore_gateway_core::client_connections::ConnectionId;
+use petrelshore_gateway_core::event_budget::EventKind;
 use petrelshore_http1::connection::HttpConnection;
 use std::time::{Duration, Instant};
-use tracing::debug;
+use tracing::{debug, info};
 
 /// Serves a connection until it closes. It is always closed in the same order: requests behind the last response are never
 /// forwarded, and what was written arrives.
@@ -26,7 +26,12 @@
     // Bytes that are not here yet are received later, however long the connection waited in the backlog.
     let backlogged_since = backlogged_since.filter(|_| http.peer().has_unread_bytes());
     let reason = serve_requests(context, backlogged_since, &mut http).await;
-    debug!(connection = connection.0, ?reason, "connection closing");
+    let budget = context.registry.gateway();
+    if reason.is_own_decision() && budget.may_log(EventKind::ClientConnectionClosed) {
+        info!(connection = connection.0, ?reason, "connection closing");
+    } else {
+        debug!(connection = connection.0, ?reason, "connection closing");
+    }
     context.registry.connection_closing(connection);
     http.lingering_close().await;
 }
@@ -49,7 +54,7 @@
         match serve_request(context, RequestTiming { started, received }, http).await {
             Ok(()) => {}
             Err(RequestFailure::Close(reason)) => return reason,
-            Err(RequestFailure::Rejected(rejection)) => return reject(context.id, http, rejection).await,
+            Err(RequestFailure::Rejected(rejection)) => return reject(context, http, rejection).await,
         }
         context.registry.connection_idle(context.id);
     }
@@ -81,12 +86,14 @@
 
 /// Writes an error response, which announces that the connection closes.
 async fn reject(
-    connection: ConnectionId,
+    context: ConnectionContext<'_>,
     http: &mut HttpConnection,
     rejection: RequestRejection,
 ) -> CloseReason {
-    let RequestRejection { status, message, retry_after } = rejection;
-    debug!(connection = connection.0, status, error = message, "request rejected");
+    let RequestRejection { status, message, retry_after, request_id } = rejection;
+    if context.registry.gateway().may_log(EventKind::RequestFailed) {
+        info!(connection = context.id.0, request_id, status, error = message, "request rejected");
+    }
     let response = response::complete(status, &message, Persistence::Close, retry_after);
     let _ = write(http, response.as_bytes()).await;
     CloseReason::Rejected
--- a/platform-ingress/src/failure.rs
+++ b/platform-ingress/src/failure.rs
@@ -11,11 +11,13 @@
     /// The body of the error response.
     pub(crate) message: String,
     pub(crate) retry_after: Option<Nanos>,
+    /// The id that the request gave, for the log.
+    pub(crate) request_id: Option<Box<str>>,
 }
 
 impl RequestRejection {
     pub(crate) fn new(status: u16, message: impl Into<String>) -> Self {
-        RequestRejection { status, message: message.into(), retry_after: None }
+        RequestRejection { status, message: message.into(), retry_after: None, request_id: None }
     }
 }
 
@@ -51,6 +53,22 @@
     Unwritable,
 }
 
+impl CloseReason {
+    /// Whether the gateway closes the connection for a reason of its own, on which its client has no say.
+    pub(crate) fn is_own_decision(self) -> bool {
+        match self {
+            CloseReason::ClientClosed
+            | CloseReason::IdleTimeout
+            | CloseReason::Announced
+            | CloseReason::ShuttingDown => false,
+            CloseReason::Evicted
+            | CloseReason::Rejected
+            | CloseReason::Truncated
+            | CloseReason::Unwritable => true,
+        }
+    }
+}
+
 /// Why no further request is served on a connection.
 #[derive(Debug)]
 pub(crate) enum RequestFailure {
@@ -60,6 +78,19 @@
     Close(CloseReason),
 }
 
+impl RequestFailure {
+    /// Notes the id of the request that failed.
+    pub(crate) fn of_request(self, request_id: Option<&str>) -> Self {
+        match self {
+            RequestFailure::Rejected(rejection) => {
+                let request_id = request_id.map(Box::from);
+                RequestFailure::Rejected(RequestRejection { request_id, ..rejection })
+            }
+            RequestFailure::Close(reason) => RequestFailure::Close(reason),
+        }
+    }
+}
+
 impl From<RequestRejection> for RequestFailure {
     fn from(rejection: RequestRejection) -> Self {
         RequestFailure::Rejected(rejection)
--- a/platform-ingress/src/request.rs
+++ b/platform-ingress/src/request.rs
@@ -65,8 +65,10 @@
             Err(CloseReason::Announced.into())
         }
         Route::ChatCompletions => {
-            let body = read_body(context, timing.started, &head, http).await?;
-            let answer = submit(context, timing, &head, body, http.peer())?;
+            let of_request = |failure: RequestFailure| failure.of_request(head.fields.single("Req-Id"));
+            let body = read_body(context, timing.started, &head, http).await;
+            let body = body.map_err(|rejection| of_request(rejection.into()))?;
+            let answer = submit(context, timing, &head, body, http.peer()).map_err(of_request)?;
             Ok(write_answer(context, &head, http, answer).await?)
         }
     }
--- a/platform-protocol/src/endpoint_list.rs
+++ b/platform-protocol/src/endpoint_list.rs
@@ -23,12 +23,23 @@
     pub index: u64,
     /// Whether it is the full list or what has changed.
     pub scope: SnapshotKind,
-    /// The endpoints and their addresses.
-    pub entries: Vec<(Endpoint, SocketAddr)>,
+    /// Its entries.
+    pub entries: Vec<ListedEndpoint>,
     /// Why entries were left out.
     pub left_out: Vec<DecodeError>,
 }
 
+/// An entry of a list.
+#[derive(Clone, Debug)]
+pub struct ListedEndpoint {
+    /// The name that all gateways call it by.
+    pub name: Box<str>,
+    /// What the scheduler knows of it.
+    pub endpoint: Endpoint,
+    /// Where this gateway reaches it.
+    pub address: SocketAddr,
+}
+
 /// Decodes a list, calling zones and kinds by `names`.
 ///
 /// # Errors
@@ -46,10 +57,11 @@
     Ok(EndpointList { index: nanos(json, "index")?, scope, entries, left_out })
 }
 
-fn entry(row: &Value, names: &Names) -> Result<(Endpoint, SocketAddr), DecodeError> {
+fn entry(row: &Value, names: &Names) -> Result<ListedEndpoint, DecodeError> {
+    let name = string(row, "name")?;
     let address = string(row, "address")?;
     let endpoint = Endpoint {
-        server: ServerId(stable_id(string(row, "name")?)),
+        server: ServerId(stable_id(name)),
         kind: ServerKindId(index_of_name(row, "type", &names.kinds)?),
         cell: CellId(row.get("group").and_then(Value::as_i64).unwrap_or(0)),
         zone: ZoneId(index_of_name(row, "zone", &names.zones)?),
@@ -57,7 +69,8 @@
         started_at: nanos(row, "since_ms")?.saturating_mul(NANOS_PER_MILLISECOND).min(MAX_STARTED_AT),
         state: state(row)?,
     };
-    Ok((endpoint, address.parse().map_err(|_| invalid("address", &row["address"]))?))
+    let address = address.parse().map_err(|_| invalid("address", &row["address"]))?;
+    Ok(ListedEndpoint { name: name.into(), endpoint, address })
 }
 
 fn index_of_name(row: &Value, field: &str, known: &[String]) -> Result<usize, DecodeError> {
--- a/platform-protocol/tests/deployment_names.rs
+++ b/platform-protocol/tests/deployment_names.rs
@@ -74,7 +74,7 @@
         let config = self.config();
         let start = 1_000_000 * MILLISECOND;
         let known: Vec<Endpoint> =
-            config.known.entries.iter().map(|(endpoint, _)| endpoint.clone()).collect();
+            config.known.entries.iter().map(|listed| listed.endpoint.clone()).collect();
         let mut manager = RequestManager::new(start, config.deployment.clone(), config.seed);
         manager.update_endpoints(start, SnapshotKind::Cached, &known);
         let mut decided = Vec::new();
@@ -84,7 +84,7 @@
                 let drains =
                     json!({"index": n, "snapshot": false, "endpoints": [self.entry(n / 100 * 4, "leaving")]});
                 let list = endpoint_list::decode(&drains, &config.names).unwrap();
-                let entries: Vec<Endpoint> = list.entries.into_iter().map(|(endpoint, _)| endpoint).collect();
+                let entries: Vec<Endpoint> = list.entries.into_iter().map(|listed| listed.endpoint).collect();
                 manager.update_endpoints(now, list.scope, &entries);
             }
             let (id, session) = (format!("{:016x}", n + 1), format!("{:016x}", 77 + n % 30));
--- a/platform-protocol/tests/protocol.rs
+++ b/platform-protocol/tests/protocol.rs
@@ -6,6 +6,7 @@
 };
 use petrelshore_gateway_core::Relay;
 use petrelshore_gateway_core::fingerprint::stable_id;
+use petrelshore_platform_protocol::endpoint_list::ListedEndpoint;
 use petrelshore_platform_protocol::settings::Names;
 use petrelshore_platform_protocol::tenants::Tenants;
 use petrelshore_platform_protocol::{config, endpoint_list, load_report, request_head, settings};
@@ -36,7 +37,7 @@
         entry("a", "leaving", 1_764_600_000_000), bad, entry("b", "left", 0), entry("c", "asleep", 0)]});
     let list = endpoint_list::decode(&told, &names()).unwrap();
     assert_eq!((list.index, list.scope, list.entries.len()), (43, SnapshotKind::Delta, 2));
-    let (first, address) = &list.entries[0];
+    let ListedEndpoint { endpoint: first, address, .. } = &list.entries[0];
     assert_eq!(
         (first.server, first.kind, first.cell),
         (ServerId(stable_id("a")), ServerKindId(1), CellId(3))
@@ -47,7 +48,7 @@
         (1_764_600_000 * SECOND, 9000),
         "Unix time in whole nanoseconds"
     );
-    assert_eq!(list.entries[1].0.state, EndpointState::Gone);
+    assert_eq!(list.entries[1].endpoint.state, EndpointState::Gone);
     let left_out: Vec<String> = list.left_out.iter().map(ToString::to_string).collect();
     assert!(left_out[0].contains("endpoints[1]: setting type") && left_out[1].contains("status"));
     let whole = json!({"index": 1, "snapshot": true, "endpoints": []});
