Incident reproduced: stopped servers and silent connections keep caches; known red

Cause: open; candidates A (a stopped process whose machine goes on) and B (single connections that fall silent). Change: tests on real processes: a decode server stopped by a signal, on a pooled and on a new connection, and a proxy whose open connections fall silent.

--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Helpers of the tests that run the gateway as a process.
 #![allow(dead_code)] // Each test file uses its own part.
 
+pub mod model_server_process;
+pub mod proxy;
+
 use petrelshore_emulator::platform::{DiscoveryAgent, ModelServer, ServerBehavior, config, entry};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/cli/tests/common/model_server_process.rs
@@ -0,0 +1,81 @@
+//! A model server in a process of its own, which a signal can stop: its machine then still accepts connections and bytes.
+
+use petrelshore_emulator::platform::{ModelServer, ServerBehavior};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+/// Tells the process of a test that it is to be a model server, and of which role.
+const ROLE_VARIABLE: &str = "PETRELSHORE_TEST_MODEL_SERVER";
+const READY: &str = "model server on ";
+
+/// The step that a model server process executes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Prefill,
+    Decode,
+}
+
+impl Role {
+    fn name(self) -> &'static str {
+        match self {
+            Role::Prefill => "prefill",
+            Role::Decode => "decode",
+        }
+    }
+}
+
+/// A running model server process. It is killed when this is dropped.
+pub struct ModelServerProcess {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl ModelServerProcess {
+    /// Runs the test `entry_point` of this test program as a model server: it has to call [`run_if_asked`].
+    pub fn start(entry_point: &str, role: Role) -> ModelServerProcess {
+        let mut child = Command::new(std::env::current_exe().unwrap())
+            .args(["--exact", entry_point, "--nocapture"])
+            .env(ROLE_VARIABLE, role.name())
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let ready = output.lines().map_while(Result::ok).find_map(|line| {
+            let (_, address) = line.split_once(READY)?;
+            address.trim().parse().ok()
+        });
+        ModelServerProcess { child, address: ready.unwrap() }
+    }
+
+    /// Stops the process in the middle of whatever it does.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+}
+
+impl Drop for ModelServerProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Serves as a model server until the test that started this process has ended; returns at once where none did.
+pub fn run_if_asked() {
+    let Ok(role) = std::env::var(ROLE_VARIABLE) else { return };
+    let server = ModelServer::start(role == Role::Prefill.name(), ServerBehavior::Good).unwrap();
+    println!("{READY}{}", server.address);
+    let _ = std::io::stdin().read_to_end(&mut Vec::new());
+}
--- /dev/null
+++ b/cli/tests/stopped_servers.rs
@@ -0,0 +1,129 @@
+//! Incident: KV caches were kept behind model servers whose processes had stopped.
+//!
+//! Seen: prompts were prefilled, the decode requests written, and for seconds nothing took them; the KV caches were
+//! neither fetched nor released. Course: the process of a decode server stopped running. Its machine went on: connections
+//! to it were established and bytes accepted. The gateway had its request written, saw a second connection come up, and
+//! took that as the proof that the server has the request: the time of the KV cache stood still until the attempt's own
+//! timeout. Cause: what answers for a machine was taken as the answer of a server. Proof: a server process that is
+//! stopped by a signal, in these tests, gives the same course; one whose machine is cut off does not.
+
+mod common;
+
+use common::model_server_process::{ModelServerProcess, Role, run_if_asked};
+use common::proxy::Proxy;
+use common::*;
+use petrelshore_emulator::platform::{DiscoveryAgent, ModelServer, ServerBehavior, entry};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const ENTRY_POINT: &str = "model_server_process";
+/// A KV cache must be released within this, by the settings of these tests.
+const RELEASE_WITHIN: Duration = Duration::from_millis(500);
+const RELEASE_SLACK: Duration = Duration::from_millis(300);
+/// For how long a connection has to be idle before it is used again, and some more.
+const REUSE_DELAY: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+#[test]
+fn model_server_process() {
+    run_if_asked();
+}
+
+/// A gateway before a prefill server of this process and decode servers of others.
+struct World {
+    gateway: Gateway,
+    prefill: ModelServer,
+    _agent: DiscoveryAgent,
+}
+
+impl World {
+    fn start(name: &str, decode: &[SocketAddr], semantics: &str) -> World {
+        let prefill = ModelServer::start(true, ServerBehavior::Good).unwrap();
+        let mut entries = vec![entry("p", prefill.address, "reader", "active")];
+        entries.extend(
+            decode.iter().enumerate().map(|(n, at)| entry(&format!("d{n}"), *at, "writer", "active")),
+        );
+        let agent = DiscoveryAgent::start(&entries.join(",")).unwrap();
+        let of_class = |text: String| text.replace("\"free\"", &format!("\"{semantics}\""));
+        let gateway = Gateway::start(name, agent.address, &entries, of_class);
+        World { gateway, prefill, _agent: agent }
+    }
+
+    /// Sends a request; its connection stays open.
+    fn send(&self, id: u64) -> TcpStream {
+        let mut client = self.gateway.connect();
+        client.write_all(request_text(id, "").as_bytes()).unwrap();
+        client
+    }
+
+    fn is_served(&self, id: u64) -> bool {
+        let (status, _, whole) = answer(&mut BufReader::new(self.send(id)));
+        status.starts_with("HTTP/1.1 200") && whole
+    }
+
+    /// Waits until the prefill server has seen a request for this id that starts so; when that was seen.
+    fn seen_at_prefill(&self, method: &str, id: u64) -> Instant {
+        let id = format!("{id:016x}");
+        let until = Instant::now() + EVENT_TIMEOUT;
+        loop {
+            let requests = self.prefill.requests();
+            if requests.iter().any(|request| request.starts_with(method) && request.contains(&id)) {
+                return Instant::now();
+            }
+            assert!(Instant::now() < until, "no {method} for {id}: {requests:?}");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// How long the KV cache of a request was kept: from its prefill to its release.
+    fn kept(&self, id: u64) -> Duration {
+        let prefilled = self.seen_at_prefill("POST", id);
+        self.seen_at_prefill("DELETE", id) - prefilled
+    }
+}
+
+fn assert_released_in_time(kept: Duration, what: &str) {
+    assert!(kept <= RELEASE_WITHIN + RELEASE_SLACK, "{what}: the KV cache was kept for {kept:?}");
+}
+
+#[test]
+fn cache_behind_stopped_server_is_released_on_pooled_connection() {
+    for semantics in ["free", "single_shot", "guarded"] {
+        let decode = ModelServerProcess::start(ENTRY_POINT, Role::Decode);
+        let world = World::start(&format!("stopped-pooled-{semantics}"), &[decode.address], semantics);
+        assert!(world.is_served(1));
+        std::thread::sleep(REUSE_DELAY);
+        decode.stop();
+        let _client = world.send(2);
+        assert_released_in_time(world.kept(2), semantics);
+    }
+}
+
+#[test]
+fn cache_behind_stopped_server_is_released_on_new_connection() {
+    for semantics in ["free", "single_shot", "guarded"] {
+        let decode = ModelServerProcess::start(ENTRY_POINT, Role::Decode);
+        // The gateway has not served any request yet.
+        let world = World::start(&format!("stopped-new-{semantics}"), &[decode.address], semantics);
+        decode.stop();
+        let _client = world.send(1);
+        assert_released_in_time(world.kept(1), semantics);
+    }
+}
+
+#[test]
+fn cache_behind_silent_connection_is_fetched_or_released_in_time() {
+    for semantics in ["free", "single_shot", "guarded"] {
+        let decode = ModelServer::start(false, ServerBehavior::Good).unwrap();
+        let proxy = Proxy::start(decode.address);
+        let world = World::start(&format!("silent-{semantics}"), &[proxy.address], semantics);
+        assert!(world.is_served(1));
+        std::thread::sleep(REUSE_DELAY);
+        proxy.silence_open_connections();
+        // The server runs, and new connections to it work.
+        let started = Instant::now();
+        assert!(world.is_served(2), "{semantics}");
+        assert_released_in_time(started.elapsed(), semantics);
+    }
+}
