Soak: stopped servers, silent connections, signals in series, crowds, earliest kill

Its kill came 3 s after SIGTERM at the earliest, where short deadlines allow it sooner. Change: servers whose process stops (bytes are taken, nothing reads them; the time of a held cache counts from when a running server has a request, deadlines from when its host had it), connections that fall silent alone, SIGHUP, SIGTERM and SIGINT in series during a stop, crowds of silent clients, longest deadlines of 0.9, 1.6, 3 and 5 s by seed with the kill at that, 3 s at most, plus 0.7 s.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -30,8 +30,8 @@
 const INVALID_REQUEST_TIMEOUT: Duration = Duration::from_millis(3_400);
 /// A response from which nothing arrives for this long has stalled.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(8_000);
-/// Deadlines of requests, in milliseconds.
-const DEADLINES_MS: (u64, u64) = (1_200, 3_000);
+/// The shortest deadline of a request, as a percentage of the longest.
+const MIN_DEADLINE_PERCENT: u64 = 40;
 const MAX_BODY_BYTES: usize = 4_000;
 /// Idempotency keys that requests share.
 const KEYS: u64 = 64;
@@ -50,7 +50,8 @@
             1 => (Class::Keyed, "order"),
             _ => (Class::Idempotent, "chat"),
         };
-        let deadline = testbed.random.duration_ms(DEADLINES_MS.0, DEADLINES_MS.1);
+        let longest_ms = testbed.parameters.max_deadline.as_millis() as u64;
+        let deadline = testbed.random.duration_ms(longest_ms * MIN_DEADLINE_PERCENT / 100, longest_ms);
         let body = format!("{{\"messages\":\"{}\"}}", "x".repeat(testbed.random.below(MAX_BODY_BYTES)));
         let text = format!(
             "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nReq-Id: {id:016x}\r\nReq-Kind: {kind}\r\n\
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -1,11 +1,13 @@
 //! Faults: drawn from the seed, several at once, each with a beginning and an end.
 
 use crate::discovery::ADDRESSES;
-use crate::process::Gateway;
+use crate::message::with_timeout;
+use crate::process::{Gateway, StopSignals};
 use crate::record::{EndpointStatus, Event, Role};
 use crate::shim::Fault as CallFault;
 use crate::testbed::{ServerBehavior, Testbed, ZONES};
 use async_io::Timer;
+use async_net::TcpStream;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +27,9 @@
 const RELOAD_PAUSE_MS: (u64, u64) = (20, 1_500);
 /// How long a slow discovery agent delays its responses, in milliseconds.
 const DISCOVERY_DELAY_MS: (u64, u64) = (100, 1_500);
+/// Connections of a crowd: more than a gateway has places for clients.
+const CROWD: usize = 320;
+const CROWD_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
 const MAX_CLOCK_STEP_MS: i64 = 3_600_000;
 const NANOS_PER_MS: i64 = 1_000_000;
 const SEND_DELAY: Duration = Duration::from_millis(150);
@@ -36,6 +41,8 @@
 enum Fault {
     GatewayRestart,
     GatewayCrash,
+    SignalSeries,
+    Crowd,
     Reloads,
     WallClockEverywhere,
     WallClockOfOneGateway,
@@ -50,6 +57,7 @@
     ZoneCut,
     ServerCut,
     Server(ServerBehavior),
+    ConnectionsSilent,
     ServerRestart,
     ServerDrain,
     AgentSilent,
@@ -59,7 +67,7 @@
 }
 
 /// The faults that are drawn from; one that stands twice is twice as likely.
-const FAULTS: [Fault; 26] = [
+const FAULTS: [Fault; 31] = [
     Fault::GatewayRestart,
     Fault::GatewayRestart,
     Fault::GatewayCrash,
@@ -77,6 +85,11 @@
     Fault::ZoneCut,
     Fault::ServerCut,
     Fault::Server(ServerBehavior::Hanging),
+    Fault::Server(ServerBehavior::Stopped),
+    Fault::Server(ServerBehavior::Stopped),
+    Fault::ConnectionsSilent,
+    Fault::SignalSeries,
+    Fault::Crowd,
     Fault::Server(ServerBehavior::Faulty),
     Fault::Server(ServerBehavior::Slow),
     Fault::Server(ServerBehavior::ClosesIdleConnections),
@@ -109,6 +122,10 @@
             Fault::ServerCut => "ServerCut",
             Fault::Server(ServerBehavior::Healthy) => "ServerGood",
             Fault::Server(ServerBehavior::Hanging) => "ServerHangs",
+            Fault::Server(ServerBehavior::Stopped) => "ServerStopped",
+            Fault::ConnectionsSilent => "ConnectionsSilent",
+            Fault::SignalSeries => "SignalSeries",
+            Fault::Crowd => "Crowd",
             Fault::Server(ServerBehavior::Faulty) => "ServerBad",
             Fault::Server(ServerBehavior::Slow) => "ServerSlow",
             Fault::Server(ServerBehavior::ClosesIdleConnections) => "ServerForgetsIdle",
@@ -176,6 +193,8 @@
         match injection.fault {
             Fault::GatewayRestart
             | Fault::GatewayCrash
+            | Fault::SignalSeries
+            | Fault::Crowd
             | Fault::Reloads
             | Fault::WallClockEverywhere
             | Fault::WallClockOfOneGateway => self.apply_to_process(injection).await,
@@ -187,7 +206,9 @@
             | Fault::NoMemory
             | Fault::BrokenConnections
             | Fault::DelayedSends => self.apply_to_calls(injection).await,
-            Fault::ZoneCut | Fault::ServerCut => self.apply_to_links(injection).await,
+            Fault::ZoneCut | Fault::ServerCut | Fault::ConnectionsSilent => {
+                self.apply_to_links(injection).await
+            }
             Fault::Server(_) | Fault::ServerRestart | Fault::ServerDrain => {
                 self.apply_to_server(injection).await;
             }
@@ -201,7 +222,9 @@
         let random = &self.testbed.random;
         let gateway = &self.gateways[injection.gateway];
         match injection.fault {
-            Fault::GatewayRestart => gateway.restart().await,
+            Fault::GatewayRestart => gateway.restart(StopSignals::Once).await,
+            Fault::SignalSeries => gateway.restart(StopSignals::Series).await,
+            Fault::Crowd => self.crowd(injection.gateway, injection.duration).await,
             Fault::GatewayCrash => {
                 gateway.crash(random.duration_ms(GATEWAY_DOWNTIME_MS.0, GATEWAY_DOWNTIME_MS.1)).await;
             }
@@ -260,6 +283,16 @@
             let server = random.below(servers.len());
             return self.cut_links(all_gateways.collect(), vec![server], injection.duration).await;
         }
+        if injection.fault == Fault::ConnectionsSilent {
+            // All connections of one gateway, or all to one server.
+            let (gateway, server) = (injection.gateway, random.below(servers.len()));
+            return match random.happens(0.5) {
+                true => {
+                    (0..servers.len()).for_each(|server| self.testbed.silence_connections(gateway, server))
+                }
+                false => all_gateways.for_each(|gateway| self.testbed.silence_connections(gateway, server)),
+            };
+        }
         let zone = random.below(ZONES.len());
         let other_gateways = all_gateways.filter(|gateway| gateway % ZONES.len() != zone).collect();
         let zone_servers = (0..servers.len()).filter(|server| servers[*server].zone == zone).collect();
@@ -319,6 +352,17 @@
         }
     }
 
+    /// Clients connect to a gateway and say nothing.
+    async fn crowd(&self, gateway: usize, duration: Duration) {
+        let address = self.testbed.gateway_address(gateway);
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            let connecting = TcpStream::connect(address);
+            crowd.extend(with_timeout(CROWD_CONNECT_TIMEOUT, connecting).await);
+        }
+        Timer::after(duration).await;
+    }
+
     fn clock_step_ms(&self) -> i64 {
         let step = self.testbed.random.below(MAX_CLOCK_STEP_MS as usize) as i64;
         if self.testbed.random.happens(0.5) { step } else { -step }
--- a/soak/src/gateway_config.rs
+++ b/soak/src/gateway_config.rs
@@ -40,7 +40,7 @@
         format!(
             r#"{{"name":"n{gateway}","listen":"{}","discovery":"{}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":64,"sockets":512}},
             "known":{{"index":{},"snapshot":true,"endpoints":[{}]}},
-            "settings":{{"allowed":{{"connIdle":4000000000,"maxAttempts":4,"maxRetryAfter":1000000000,"retryAfter":true}},
+            "settings":{{"allowed":{{"connIdle":4000000000,"maxAttempts":4,"maxRetryAfter":1000000000,"probes":{},"retryAfter":true}},
             "balancers":{},"dcs":["{zone}","{other}"],"kinds":["reader","writer"],"membershipMode":"pushed","orgs":[],"lanes":[{}],
             "overShareWorth":0.1,"report":{{"fields":["inflight","x0"],"how":"inline"}},
             "rules":{{"askEvery":10000000000,"cold":{},"coldFrom":{},"drainGrace":{},"overloadFactor":{},"overloadFor":{}}},
@@ -52,6 +52,7 @@
             self.seed.wrapping_mul(SEED_FACTOR).wrapping_add((gateway * 1000 + run) as u64),
             self.list_version.get(),
             self.endpoints(gateway),
+            parameters.health_checks,
             parameters.gateways,
             self.lanes(),
             parameters.warm_up.as_nanos(),
--- a/soak/src/oracle/attempts.rs
+++ b/soak/src/oracle/attempts.rs
@@ -55,8 +55,8 @@
 }
 
 fn deadline_exceeded(request: &Request, arrival: &Arrival, slack: Duration) -> Option<Breach> {
-    let sent = request.sent.iter().rfind(|sent| **sent <= arrival.at)?;
-    let left = (*sent + request.deadline).saturating_sub(arrival.at);
+    let sent = request.sent.iter().rfind(|sent| **sent <= arrival.received_at)?;
+    let left = (*sent + request.deadline).saturating_sub(arrival.received_at);
     if arrival.deadline <= left + DEADLINE_SLACK + slack {
         return None;
     }
--- a/soak/src/oracle/history.rs
+++ b/soak/src/oracle/history.rs
@@ -48,6 +48,7 @@
     pub(super) role: Role,
     pub(super) gateway: usize,
     pub(super) started_at: Time,
+    pub(super) received_at: Time,
     pub(super) at: Time,
     pub(super) deadline: Duration,
     pub(super) end: Option<Timed<ExchangeOutcome>>,
@@ -162,8 +163,27 @@
 
     fn add_server_event(&mut self, at: Time, event: &Event) {
         match *event {
-            Event::ExchangeStarted { exchange, request, server, role, gateway, started_at, deadline } => {
-                let arrival = Arrival { request, server, role, gateway, started_at, at, deadline, end: None };
+            Event::ExchangeStarted {
+                exchange,
+                request,
+                server,
+                role,
+                gateway,
+                started_at,
+                received_at,
+                deadline,
+            } => {
+                let arrival = Arrival {
+                    request,
+                    server,
+                    role,
+                    gateway,
+                    started_at,
+                    received_at,
+                    at,
+                    deadline,
+                    end: None,
+                };
                 self.arrivals.insert(exchange, arrival);
                 self.request(request).exchanges.push(exchange);
             }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -23,9 +23,31 @@
 const CONNECTING_AFTER_STOP: Duration = Duration::from_millis(300);
 /// A stopping process is killed this long after the longest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
-const MIN_STOP_TIME: Duration = Duration::from_secs(3);
+/// Deadlines that are longer count as this.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// Pause between two signals of a series.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(120);
 const LOG_FILTER: &str = "info,petrelshore_platform_gateway=debug,petrelshore_platform_ingress=debug";
 
+/// Which signals a process gets to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopSignals {
+    /// One SIGTERM.
+    Once,
+    /// More behind it, of both kinds.
+    Series,
+}
+
+impl StopSignals {
+    /// What follows the first SIGTERM.
+    fn series(self) -> &'static [Signal] {
+        match self {
+            StopSignals::Once => &[],
+            StopSignals::Series => &[Signal::HUP, Signal::TERM, Signal::HUP, Signal::INT, Signal::TERM],
+        }
+    }
+}
+
 /// One gateway, over all of its processes.
 pub struct Gateway {
     testbed: Rc<Testbed>,
@@ -182,22 +204,31 @@
     }
 
     /// Sends the stop signal, kills the process once its time is over, and starts another.
-    pub async fn restart(&self) {
+    pub async fn restart(&self, signals: StopSignals) {
         if self.transitioning.replace(true) {
             return;
         }
-        self.stop().await;
+        self.stop(signals).await;
         let _ = self.start().await;
         self.transitioning.set(false);
     }
 
-    async fn stop(&self) {
+    async fn stop(&self, signals: StopSignals) {
         let record = &self.testbed.record;
         record.write(Event::StopSignalSent { process: self.process() });
         self.signal(Signal::TERM);
-        let kill_at = record.now() + self.testbed.parameters.max_deadline.max(MIN_STOP_TIME) + KILL_DELAY;
+        let kill_at =
+            record.now() + self.testbed.parameters.max_deadline.min(MAX_COUNTED_DEADLINE) + KILL_DELAY;
         let close_at = record.now() + CONNECTING_AFTER_STOP;
+        let mut series = signals.series().iter();
+        let mut next_signal_at = record.now() + SIGNAL_PAUSE;
         while record.now() < kill_at && !self.has_exited() {
+            if record.now() >= next_signal_at
+                && let Some(signal) = series.next()
+            {
+                self.signal(*signal);
+                next_signal_at += SIGNAL_PAUSE;
+            }
             if record.now() >= close_at {
                 self.close();
             }
@@ -236,7 +267,7 @@
         }
         self.transitioning.set(true);
         if self.child.borrow().is_some() {
-            self.stop().await;
+            self.stop(StopSignals::Once).await;
         }
     }
 }
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -167,7 +167,7 @@
         /// Whether the request was served.
         served: bool,
     },
-    /// A model server read the last byte of a request.
+    /// A running model server has the last byte of a request.
     ExchangeStarted {
         /// The exchange.
         exchange: Exchange,
@@ -181,6 +181,8 @@
         gateway: usize,
         /// When its first byte was read.
         started_at: Time,
+        /// When its last byte had reached the server's host; the server may have been stopped then, and have it later.
+        received_at: Time,
         /// The time left, as the server was notified.
         deadline: Duration,
     },
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -150,10 +150,12 @@
             format!("Answered {{ request: {request}, seen: {outcome} }}")
         }
         Event::ClientDisconnected { request } => format!("Left {{ request: {request} }}"),
-        Event::ExchangeStarted { exchange, request, server, role, gateway, started_at, deadline } => format!(
-            "Arrived {{ exchange: {exchange:?}, request: {request}, server: {server}, role: {role:?}, \
+        Event::ExchangeStarted { exchange, request, server, role, gateway, started_at, deadline, .. } => {
+            format!(
+                "Arrived {{ exchange: {exchange:?}, request: {request}, server: {server}, role: {role:?}, \
              from: {gateway}, began: {started_at:?}, told: {deadline:?} }}"
-        ),
+            )
+        }
         Event::ExchangeEnded { exchange, outcome } => {
             format!("Ended {{ exchange: {exchange:?}, outcome: {outcome} }}")
         }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -79,7 +79,8 @@
             initial_capacity: 0.3,
             overload_factor: 2.5,
             overload_window: Duration::from_millis(1_500),
-            max_deadline: Duration::from_secs(3),
+            max_deadline: Duration::from_millis([3_000, 900, 1_600, 5_000][(self.seed / 5 % 4) as usize]),
+            health_checks: self.seed % 7 < 4,
             resume_streams: self.seed % 2 == 1,
         }
     }
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -39,6 +39,8 @@
 const DECLINED: &str = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const CACHE_MISSING: &str = "HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+const HEALTH_CHECK: &str = "GET /healthz ";
+const HEALTHY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
 /// An exchange in progress. One that is dropped without an end has a broken connection.
@@ -133,7 +135,8 @@
 async fn serve_connection(testbed: Rc<Testbed>, gateway: usize, server: usize, stream: TcpStream) {
     let mut connection = BufReader::new(stream);
     let restarts = testbed.servers[server].restarts.get();
-    let peer = Peer { testbed: &testbed, gateway, server };
+    let silences = testbed.link(gateway, server).silences.get();
+    let peer = Peer { testbed: &testbed, gateway, server, silences };
     let reset = {
         let served = async {
             let _ = peer.serve_exchanges(&mut connection).await;
@@ -150,6 +153,36 @@
     }
 }
 
+/// When the bytes of a request reached its server's host.
+#[derive(Clone, Copy)]
+struct Received {
+    started_at: Time,
+    received_at: Time,
+}
+
+fn is_running(testbed: &Testbed, server: usize) -> bool {
+    testbed.servers[server].behavior.get() != ServerBehavior::Stopped
+}
+
+async fn wait_until_running(testbed: &Testbed, server: usize) {
+    while !is_running(testbed, server) {
+        let changed = testbed.servers[server].changed.listen();
+        if !is_running(testbed, server) {
+            changed.await;
+        }
+    }
+}
+
+/// Whether the gateway has closed its end of a connection on which nothing more is to be read.
+async fn has_closed(connection: &mut Connection) -> bool {
+    let closed = async { matches!(connection.fill_buf().await, Ok([]) | Err(_)) };
+    let open = async {
+        future::yield_now().await;
+        false
+    };
+    future::or(closed, open).await
+}
+
 /// A request for work, as its head announces it.
 struct WorkRequest {
     id: u64,
@@ -179,9 +212,16 @@
     testbed: &'a Rc<Testbed>,
     gateway: usize,
     server: usize,
+    /// How often connections had fallen silent before this one was accepted.
+    silences: u64,
 }
 
 impl Peer<'_> {
+    /// Whether this connection has fallen silent.
+    fn is_silent(self) -> bool {
+        self.testbed.link(self.gateway, self.server).silences.get() > self.silences
+    }
+
     fn behavior(self) -> ServerBehavior {
         self.testbed.servers[self.server].behavior.get()
     }
@@ -202,9 +242,9 @@
         }
     }
 
-    /// Never completes where the link is cut.
+    /// Never completes where the link is cut, or the connection is silent.
     async fn transmit(self) {
-        if self.testbed.link(self.gateway, self.server).cut.get() {
+        if self.is_silent() || self.testbed.link(self.gateway, self.server).cut.get() {
             future::pending::<()>().await;
         }
     }
@@ -225,17 +265,31 @@
             let Some(head) = read_head(connection).await? else { return Ok(()) };
             read_body(connection, &head).await?;
             self.transmit().await;
+            let received_at = testbed.record.now();
+            let was_stopped = !is_running(testbed, self.server);
+            if was_stopped {
+                wait_until_running(testbed, self.server).await;
+                self.transmit().await;
+            }
             served += 1;
             if let Some(request) = released_request(&head) {
                 testbed.release_cache(request);
                 write_text(connection, RELEASED).await?;
                 continue;
             }
+            if head.start_line.starts_with(HEALTH_CHECK) {
+                write_text(connection, HEALTHY).await?;
+                continue;
+            }
             let Some(request) = WorkRequest::of(&head) else {
                 write_text(connection, FAILED).await?;
                 continue;
             };
-            if !self.execute(request, started_at, connection).await {
+            // A process that goes on sees that its client has left meanwhile.
+            if was_stopped && has_closed(connection).await {
+                return Ok(());
+            }
+            if !self.execute(request, Received { started_at, received_at }, connection).await {
                 return Ok(());
             }
             self.transmit().await;
@@ -243,7 +297,8 @@
     }
 
     /// Executes one request; whether its connection may serve another.
-    async fn execute(self, request: WorkRequest, started_at: Time, connection: &mut Connection) -> bool {
+    async fn execute(self, request: WorkRequest, received: Received, connection: &mut Connection) -> bool {
+        let Received { started_at, received_at } = received;
         let testbed = self.testbed;
         let role = testbed.servers[self.server].role;
         testbed.note_forwarded(request.id);
@@ -255,12 +310,13 @@
             role,
             gateway: self.gateway,
             started_at,
+            received_at,
             deadline: request.deadline,
         });
         let open = OpenExchange { testbed: testbed.clone(), exchange, ended: false };
         let outcome = match role {
-            Role::Prefill => prefill(testbed, self.server, request.id, connection).await,
-            Role::Decode => decode(testbed, self.server, request.id, connection).await,
+            Role::Prefill => prefill(self, request.id, connection).await,
+            Role::Decode => decode(self, request.id, connection).await,
         };
         open.end(outcome.as_ref().copied().unwrap_or(ExchangeOutcome::Abandoned));
         outcome.is_ok()
@@ -268,22 +324,19 @@
 }
 
 /// Works for a while; an error where the gateway abandons the exchange meanwhile.
-async fn work(
-    testbed: &Testbed,
-    server: usize,
-    time: Duration,
-    connection: &mut Connection,
-) -> io::Result<()> {
-    let state = &testbed.servers[server];
+async fn work(peer: Peer<'_>, time: Duration, connection: &mut Connection) -> io::Result<()> {
+    let state = &peer.testbed.servers[peer.server];
+    let link = peer.testbed.link(peer.gateway, peer.server);
     let slower = if state.behavior.get() == ServerBehavior::Slow { SLOW_DELAY } else { Duration::ZERO };
     let worked = async {
         Timer::after(time + slower).await;
         loop {
-            let changed = state.changed.listen();
-            if state.behavior.get() != ServerBehavior::Hanging {
+            let (changed, link_changed) = (state.changed.listen(), link.changed.listen());
+            let waits = matches!(state.behavior.get(), ServerBehavior::Hanging | ServerBehavior::Stopped);
+            if !waits && !peer.is_silent() {
                 return Ok(());
             }
-            changed.await;
+            future::or(changed, link_changed).await;
         }
     };
     let abandoned = async {
@@ -295,14 +348,10 @@
     future::or(abandoned, worked).await
 }
 
-async fn prefill(
-    testbed: &Testbed,
-    server: usize,
-    request: u64,
-    connection: &mut Connection,
-) -> io::Result<ExchangeOutcome> {
+async fn prefill(peer: Peer<'_>, request: u64, connection: &mut Connection) -> io::Result<ExchangeOutcome> {
+    let Peer { testbed, server, .. } = peer;
     let time = testbed.random.duration_ms(PREFILL_MS.0, PREFILL_MS.1);
-    let worked = work(testbed, server, time, connection).await;
+    let worked = work(peer, time, connection).await;
     if worked.is_err() && testbed.random.happens(0.5) {
         // It was completed just then.
         testbed.reserve_cache(request, server);
@@ -331,17 +380,13 @@
     Ok(ExchangeOutcome::Completed)
 }
 
-async fn decode(
-    testbed: &Testbed,
-    server: usize,
-    request: u64,
-    connection: &mut Connection,
-) -> io::Result<ExchangeOutcome> {
+async fn decode(peer: Peer<'_>, request: u64, connection: &mut Connection) -> io::Result<ExchangeOutcome> {
+    let Peer { testbed, server, .. } = peer;
     let behavior = testbed.servers[server].behavior.get();
     if behavior == ServerBehavior::Faulty && testbed.random.happens(0.5) {
         return respond_wrongly(testbed, connection).await;
     }
-    work(testbed, server, testbed.random.duration_ms(FIRST_EVENT_MS.0, FIRST_EVENT_MS.1), connection).await?;
+    work(peer, testbed.random.duration_ms(FIRST_EVENT_MS.0, FIRST_EVENT_MS.1), connection).await?;
     if !testbed.release_cache(request) {
         write_text(connection, CACHE_MISSING).await?;
         return Ok(ExchangeOutcome::Declined);
@@ -360,13 +405,8 @@
             write_text(connection, "zz\r\nspoilt\r\n").await?;
             return Ok(ExchangeOutcome::Broken);
         }
-        work(
-            testbed,
-            server,
-            testbed.random.duration_ms(EVENT_INTERVAL_MS.0, EVENT_INTERVAL_MS.1),
-            connection,
-        )
-        .await?;
+        let pause = testbed.random.duration_ms(EVENT_INTERVAL_MS.0, EVENT_INTERVAL_MS.1);
+        work(peer, pause, connection).await?;
     }
     write_text(connection, &(encode_chunk(STREAM_END) + "0\r\n\r\n")).await?;
     Ok(ExchangeOutcome::Completed)
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -48,6 +48,8 @@
     pub overload_window: Duration,
     /// The longest deadline of any request.
     pub max_deadline: Duration,
+    /// Whether gateways may check the health of servers.
+    pub health_checks: bool,
     /// Whether clients resume streams that broke.
     pub resume_streams: bool,
 }
@@ -59,6 +61,8 @@
     Healthy,
     /// Reads requests and sends no responses.
     Hanging,
+    /// Its process is stopped: its host accepts connections and bytes, and nothing reads them until it goes on.
+    Stopped,
     /// Responds with 500, breaks connections, sends invalid responses, declines.
     Faulty,
     /// Takes half a second longer.
@@ -92,6 +96,8 @@
 pub struct Link {
     /// Nothing is transmitted, and neither end is notified.
     pub cut: Cell<bool>,
+    /// Counts how often its open connections fell silent: those carry nothing any more, new ones do.
+    pub silences: Cell<u64>,
     /// Notified when it was cut or restored.
     pub changed: Notification,
 }
@@ -332,6 +338,13 @@
         self.servers[server].changed.notify(usize::MAX);
     }
 
+    /// All open connections of a link fall silent, without an error at either end.
+    pub fn silence_connections(&self, gateway: usize, server: usize) {
+        let link = self.link(gateway, server);
+        link.silences.set(link.silences.get() + 1);
+        link.changed.notify(usize::MAX);
+    }
+
     /// Cuts a link, or restores it.
     pub fn set_link_cut(&self, gateway: usize, server: usize, cut: bool) {
         let link = self.link(gateway, server);
--- a/soak/tests/oracle.rs
+++ b/soak/tests/oracle.rs
@@ -31,13 +31,25 @@
         overload_factor: 2.5,
         overload_window: ms(1_500),
         max_deadline: ms(3_000),
+        health_checks: true,
         resume_streams: false,
     }
 }
 
 fn arrived(exchange: Exchange, server: usize, role: Role, at: u64, deadline: u64) -> (Time, Event) {
     let (started_at, deadline) = (ms(at), ms(deadline));
-    (ms(at), Event::ExchangeStarted { exchange, request: 1, server, role, gateway: 0, started_at, deadline })
+    let received_at = ms(at);
+    let started = Event::ExchangeStarted {
+        exchange,
+        request: 1,
+        server,
+        role,
+        gateway: 0,
+        started_at,
+        received_at,
+        deadline,
+    };
+    (ms(at), started)
 }
 
 fn ended(exchange: Exchange, at: u64, outcome: ExchangeOutcome) -> (Time, Event) {
@@ -183,8 +195,16 @@
     let sends = (0..60).flat_map(|n| {
         let (exchange, request, at) = (Exchange(100 + n), 100 + n, ms(2_100 + 5 * n));
         let (server, role, deadline) = (PREFILL, Role::Prefill, ms(10));
-        let arrived =
-            Event::ExchangeStarted { exchange, request, server, role, gateway: 0, started_at: at, deadline };
+        let arrived = Event::ExchangeStarted {
+            exchange,
+            request,
+            server,
+            role,
+            gateway: 0,
+            started_at: at,
+            received_at: at,
+            deadline,
+        };
         [(at, arrived), (at, Event::ExchangeEnded { exchange, outcome: ExchangeOutcome::Completed })]
     });
     assert_eq!(
