--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers of the tests that run the gateway as a process.
 #![allow(dead_code)] // Each test file uses its own part.
 
+pub mod chat;
 pub mod model_server_process;
 pub mod proxy;
 
--- a/cli/tests/stopped_servers.rs
+++ b/cli/tests/stopped_servers.rs
@@ -9,6 +9,7 @@
 
 mod common;
 
+use common::chat::{ChatGateway, PrefillEngine, StandIn};
 use common::model_server_process::{ModelServerProcess, Role, run_if_asked};
 use common::proxy::Proxy;
 use common::*;
@@ -75,24 +76,10 @@
         status.starts_with("HTTP/1.1 200") && whole
     }
 
-    /// Waits until the prefill server has seen a request for this id that starts so; when that was seen.
-    fn seen_at_prefill(&self, method: &str, id: u64) -> Instant {
-        let id = format!("{id:016x}");
-        let until = Instant::now() + EVENT_TIMEOUT;
-        loop {
-            let requests = self.prefill.requests();
-            if requests.iter().any(|request| request.starts_with(method) && request.contains(&id)) {
-                return Instant::now();
-            }
-            assert!(Instant::now() < until, "no {method} for {id}: {requests:?}");
-            std::thread::sleep(POLL_INTERVAL);
-        }
-    }
-
     /// How long the KV cache of a request was kept: from its prefill to its release.
     fn kept(&self, id: u64) -> Duration {
-        let prefilled = self.seen_at_prefill("POST", id);
-        self.seen_at_prefill("DELETE", id) - prefilled
+        let prefilled = seen_at(&self.prefill, "POST", id);
+        seen_at(&self.prefill, "DELETE", id) - prefilled
     }
 }
 
@@ -145,3 +132,76 @@
         assert_released_in_time(started.elapsed(), semantics);
     }
 }
+
+#[test]
+fn gateway_of_the_chat_api_releases_cache_behind_stopped_server() {
+    for pooled in [false, true] {
+        let decode = StandIn::start("writer");
+        let prefill = PrefillEngine::start();
+        let gateway = ChatGateway::start(&format!("stopped-{pooled}"), prefill.address, decode.address);
+        if pooled {
+            assert!(gateway.ask().ends_within(EVENT_TIMEOUT));
+            std::thread::sleep(REUSE_DELAY);
+        }
+        decode.stop();
+        let _client = gateway.ask();
+        let kept = prefill.kept_of_prefill(usize::from(pooled));
+        assert_released_in_time(kept, if pooled { "pooled" } else { "new" });
+    }
+}
+
+/// Waits until a server has seen a request that starts so for this id; when that was seen.
+fn seen_at(server: &ModelServer, method: &str, id: u64) -> Instant {
+    let id = format!("{id:016x}");
+    let until = Instant::now() + EVENT_TIMEOUT;
+    loop {
+        let requests = server.requests();
+        if requests.iter().any(|request| request.starts_with(method) && request.contains(&id)) {
+            return Instant::now();
+        }
+        assert!(Instant::now() < until, "no {method} for {id}: {requests:?}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// A gateway before a decode server that takes requests and never answers them, and a prefill server at this address.
+fn before_silent_decode(name: &str, prefill: SocketAddr) -> (Gateway, ModelServer, DiscoveryAgent) {
+    let decode = ModelServer::start(false, ServerBehavior::Good).unwrap();
+    let entries = [entry("p", prefill, "reader", "active"), entry("d", decode.address, "writer", "active")];
+    let agent = DiscoveryAgent::start(&entries.join(",")).unwrap();
+    let gateway = Gateway::start(name, agent.address, &entries, with_health_checks);
+    let mut first = gateway.connect();
+    first.write_all(request_text(1, "").as_bytes()).unwrap();
+    assert!(answer(&mut BufReader::new(first)).2);
+    std::thread::sleep(REUSE_DELAY);
+    decode.set(ServerBehavior::Silent);
+    (gateway, decode, agent)
+}
+
+#[test]
+fn release_is_sent_again_where_its_connection_has_fallen_silent() {
+    let prefill = ModelServer::start(true, ServerBehavior::Good).unwrap();
+    let proxy = Proxy::start(prefill.address);
+    let (gateway, decode, _agent) = before_silent_decode("release-silent", proxy.address);
+    let mut client = gateway.connect();
+    client.write_all(request_text(2, "").as_bytes()).unwrap();
+    seen_at(&decode, "POST", 2);
+    std::thread::sleep(REUSE_DELAY);
+    proxy.silence_open_connections();
+    drop(client);
+    let left = Instant::now();
+    assert_released_in_time(seen_at(&prefill, "DELETE", 2) - left, "silent connection");
+}
+
+#[test]
+fn release_goes_by_way_of_another_server_where_its_own_has_stopped() {
+    let prefill = ModelServerProcess::start(ENTRY_POINT, Role::Prefill);
+    let (gateway, decode, _agent) = before_silent_decode("release-stopped", prefill.address);
+    let mut client = gateway.connect();
+    client.write_all(request_text(2, "").as_bytes()).unwrap();
+    seen_at(&decode, "POST", 2);
+    prefill.stop();
+    drop(client);
+    let left = Instant::now();
+    assert_released_in_time(seen_at(&decode, "DELETE", 2) - left, "stopped server");
+}
