The chat gateway proves its model servers alive while a KV cache is held

Cause: gateway-core, buffered/actions.rs took every attempt for delivered that was not reported as unsent; engine-client had no bound for a server that accepts and does not answer. Same class as in the platform's client. Change: the same probe before and after a request is sent while a cache is held (a release of what nobody holds), delivery is reported by the client, releases on a silent pooled connection go out on a new one. A server that accepts and does not answer is Unresponsive, not NotConnected: it is no refused connection, and stays listed in serve. The emulator counted any first request at a hanging server as an attempt; only requests for work are.

--- a/chat-gateway/src/attempts.rs
+++ b/chat-gateway/src/attempts.rs
@@ -45,6 +45,7 @@
             transfer_params: outgoing.transfer_params,
             new_connection: dispatch.new_connection,
             connect_timeout: Duration::from_nanos(dispatch.connect_timeout),
+            holds_cache: dispatch.holds_cache,
         };
         let state = self.clone();
         let task = self.spawner.spawn(async move {
@@ -56,9 +57,14 @@
         entry.attempt.start(dispatch.attempt, task);
     }
 
+    /// A running server provably has the request of an attempt.
+    fn attempt_delivered(&self, dispatch: &Dispatch) {
+        self.event_loop.requests_mut().attempt_delivered(dispatch.id, dispatch.attempt);
+    }
+
     /// The attempt task of a prefill.
     async fn prefill(self: Rc<Self>, dispatch: Dispatch, request: CompletionRequest) {
-        let reply = self.client.prefill(&request).await;
+        let reply = self.client.prefill(&request, &|| self.attempt_delivered(&dispatch)).await;
         let result = match reply.result {
             Ok(result) => result,
             Err(ending) => return self.attempt_ended(dispatch, ending, reply.load),
@@ -74,7 +80,7 @@
 
     /// The attempt task of any step that decodes.
     async fn decode(self: Rc<Self>, dispatch: Dispatch, request: CompletionRequest) {
-        let reply = self.client.decode(&request).await;
+        let reply = self.client.decode(&request, &|| self.attempt_delivered(&dispatch)).await;
         let mut stream = match reply.result {
             Ok(stream) => stream,
             Err(ending) => return self.attempt_ended(dispatch, ending, reply.load),
--- a/emulator/src/server/connection.rs
+++ b/emulator/src/server/connection.rs
@@ -13,6 +13,8 @@
 use smol_hyper::rt::FuturesIo;
 use std::rc::Rc;
 
+/// How a request for work starts; others, such as release requests, are no attempts.
+const WORK_REQUEST: &str = "POST /v1/completions ";
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Accepts connections for as long as it is polled.
@@ -58,7 +60,7 @@
     let mut attempt = None;
     while let Ok(count @ 1..) = stream.read(&mut buffer).await {
         received.push_str(&String::from_utf8_lossy(&buffer[..count]));
-        if attempt.is_none() && is_complete(&received) {
+        if attempt.is_none() && is_complete(&received) && received.starts_with(WORK_REQUEST) {
             attempt = Some(unanswered_attempt(&received, state));
         }
     }
--- a/engine-client/src/client.rs
+++ b/engine-client/src/client.rs
@@ -14,6 +14,7 @@
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
 use petrelshore_runtime::Spawner;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,10 @@
 const RELEASE_PATH: &str = "/v1/kv/release";
 /// Bound of the body of a prefill or error response: both hold a few fields.
 const MAX_BODY_BYTES: usize = 256 << 10;
+/// A release request on a pooled connection may take this part of its time; the rest is for a new one.
+const POOLED_RELEASE_DIVISOR: u32 = 2;
+/// Behind a request's id: what no server holds anything for.
+const PROBE_SUFFIX: &str = "-probe";
 
 /// A client of all model servers of one gateway.
 pub struct Client {
@@ -38,10 +43,14 @@
     sender: Sender,
 }
 
-/// A request that got no response.
-struct SendError {
-    /// The request, if provably nothing of it was written: it can be sent on another connection.
-    unsent: Option<Message>,
+/// Why a request got no response.
+enum SendError {
+    /// Provably nothing of it was written: it can be sent on another connection.
+    Unsent(Box<Message>),
+    /// Its connection broke.
+    Broken,
+    /// Nothing proved in time that a running server has it.
+    Unproven,
 }
 
 /// A body that was read completely.
@@ -56,10 +65,15 @@
         Client { pool: Rc::new(Pool::new(spawner)), user_agent: format!("petrelshore/{gateway_name}") }
     }
 
-    /// Sends a prefill request; the KV cache then waits at its server.
-    pub async fn prefill(&self, request: &CompletionRequest) -> Reply<PrefillResult> {
+    /// Sends a prefill request; the KV cache then waits at its server. `on_delivered` is called once that provably has the
+    /// request, if it does not answer soon.
+    pub async fn prefill(
+        &self,
+        request: &CompletionRequest,
+        on_delivered: &dyn Fn(),
+    ) -> Reply<PrefillResult> {
         let Exchanged { response, sender } =
-            match self.complete(request, wire_format::prefill_body(request)).await {
+            match self.complete(request, wire_format::prefill_body(request), on_delivered).await {
                 Ok(exchanged) => exchanged,
                 Err(end) => return Reply::failed(end),
             };
@@ -78,10 +92,11 @@
         Reply { result: result.await, load }
     }
 
-    /// Sends a decode request, for a KV cache that waits at a prefill server or for the prompt itself.
-    pub async fn decode(&self, request: &CompletionRequest) -> Reply<DecodeStream> {
+    /// Sends a decode request, for a KV cache that waits at a prefill server or for the prompt itself; `on_delivered` as
+    /// for a prefill request.
+    pub async fn decode(&self, request: &CompletionRequest, on_delivered: &dyn Fn()) -> Reply<DecodeStream> {
         let Exchanged { response, sender } =
-            match self.complete(request, wire_format::decode_body(request)).await {
+            match self.complete(request, wire_format::decode_body(request), on_delivered).await {
                 Ok(exchanged) => exchanged,
                 Err(end) => return Reply::failed(end),
             };
@@ -101,27 +116,95 @@
         request_id: &str,
         timeout: Duration,
     ) -> Result<(), AttemptEnd> {
-        let body = Bytes::from(wire_format::release_body(request_id));
         let released = async {
-            let sender = match self.pool.check_out(address) {
-                Some(pooled) => pooled.sender,
-                None => self.pool.connect(address, timeout).await?,
-            };
-            let message = self.message(address, RELEASE_PATH, request_id, None, body)?;
-            let Exchanged { response, sender } =
-                send(sender, message).await.map_err(|_| AttemptEnd::Reset)?;
-            let CompleteResponse { status, .. } = read_body(response).await?;
-            self.pool.check_in(address, sender);
-            match status.is_success() {
-                true => Ok(()),
-                false => Err(AttemptEnd::ErrorStatus { status: status.as_u16() }),
+            let pooled = self.pool.check_out(address);
+            if let Some(pooled) = pooled {
+                // It may have broken, or fallen silent. The request is idempotent.
+                let release = self.release_on(pooled.sender, address, request_id);
+                match within(timeout / POOLED_RELEASE_DIVISOR, release).await {
+                    Err(AttemptEnd::Reset | AttemptEnd::TimedOut) => {
+                        self.pool.reuse_failed(address, pooled.idle_time);
+                    }
+                    result => return result,
+                }
             }
+            let sender = self.pool.connect(address, timeout).await?;
+            self.release_on(sender, address, request_id).await
         };
-        let timed_out = async {
-            Timer::after(timeout).await;
-            Err(AttemptEnd::TimedOut)
+        within(timeout, released).await
+    }
+
+    async fn release_on(
+        &self,
+        sender: Sender,
+        address: SocketAddr,
+        request_id: &str,
+    ) -> Result<(), AttemptEnd> {
+        let body = Bytes::from(wire_format::release_body(request_id));
+        let message = self.message(address, RELEASE_PATH, request_id, None, body)?;
+        let Exchanged { response, sender } = send(sender, message).await.map_err(|_| AttemptEnd::Reset)?;
+        let CompleteResponse { status, .. } = read_body(response).await?;
+        self.pool.check_in(address, sender);
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(AttemptEnd::ErrorStatus { status: status.as_u16() }),
+        }
+    }
+
+    /// A connection on which its server has answered in time, if a cache is held: the machine of a stopped process accepts
+    /// connections and bytes like any other. The server is asked to release what nobody holds.
+    async fn probe(
+        &self,
+        request: &CompletionRequest,
+        mut sender: Sender,
+        timeout: Duration,
+    ) -> Result<Sender, AttemptEnd> {
+        if !request.holds_cache {
+            return Ok(sender);
+        }
+        let request_id = format!("{}{PROBE_SUFFIX}", request.request_id);
+        let body = Bytes::from(wire_format::release_body(&request_id));
+        let message = self.message(request.address, RELEASE_PATH, &request_id, None, body)?;
+        let answered = async {
+            let exchanged = send(sender, message).await.map_err(|_| AttemptEnd::Reset)?;
+            read_body(exchanged.response).await?;
+            sender = exchanged.sender;
+            sender.ready().await.map_err(|_| AttemptEnd::Reset)?;
+            Ok(sender)
         };
-        future::or(released, timed_out).await
+        within(timeout, answered).await
+    }
+
+    /// Sends a request. While a cache is held, a server that does not answer soon has to answer a probe on another
+    /// connection: it may have stopped since the first one.
+    async fn send_proven(
+        &self,
+        request: &CompletionRequest,
+        sender: Sender,
+        message: Message,
+        on_delivered: &dyn Fn(),
+    ) -> Result<Exchanged, SendError> {
+        let mut response = pin!(send(sender, message));
+        if !request.holds_cache {
+            return response.await;
+        }
+        let proof = async {
+            Timer::after(request.connect_timeout / 2).await;
+            let sender = self.pool.connect(request.address, request.connect_timeout).await?;
+            let sender = self.probe(request, sender, request.connect_timeout).await?;
+            self.pool.check_in(request.address, sender);
+            Ok::<(), AttemptEnd>(())
+        };
+        let result = async { Ok(response.as_mut().await) };
+        let proof = async { Err(within(request.connect_timeout * 3 / 2, proof).await) };
+        match future::or(result, proof).await {
+            Ok(result) => result,
+            Err(Ok(())) => {
+                on_delivered();
+                response.await
+            }
+            Err(Err(_)) => Err(SendError::Unproven),
+        }
     }
 
     /// Closes idle connections to servers that are no longer listed.
@@ -134,28 +217,37 @@
         &self,
         request: &CompletionRequest,
         body: serde_json::Result<Vec<u8>>,
+        on_delivered: &dyn Fn(),
     ) -> Result<Exchanged, AttemptEnd> {
         let body = Bytes::from(body.map_err(|_| AttemptEnd::ReturnedUnsent)?);
         let key = request.idempotency_key.as_deref();
         let mut message = self.message(request.address, COMPLETIONS_PATH, &request.request_id, key, body)?;
         let pooled = if request.new_connection { None } else { self.pool.check_out(request.address) };
         if let Some(pooled) = pooled {
-            match send(pooled.sender, message).await {
+            let sent = match self.probe(request, pooled.sender, request.connect_timeout / 2).await {
+                Ok(sender) => self.send_proven(request, sender, message, on_delivered).await,
+                Err(_) => Err(SendError::Unsent(Box::new(message))),
+            };
+            match sent {
                 Ok(exchanged) => {
                     self.pool.reuse_succeeded();
                     return Ok(exchanged);
                 }
-                Err(SendError { unsent: Some(unsent) }) => message = unsent,
-                Err(SendError { unsent: None }) => {
+                Err(SendError::Unsent(unsent)) => message = *unsent,
+                Err(SendError::Broken) => {
                     self.pool.reuse_failed(request.address, pooled.idle_time);
                     return Err(AttemptEnd::Reset);
                 }
+                Err(SendError::Unproven) => return Err(AttemptEnd::Unproven),
             }
         }
         let sender = self.pool.connect(request.address, request.connect_timeout).await?;
-        send(sender, message).await.map_err(|error| match error.unsent {
-            Some(_) => AttemptEnd::ReturnedUnsent,
-            None => AttemptEnd::Reset,
+        let sender = self.probe(request, sender, request.connect_timeout / 2).await;
+        let sender = sender.map_err(|_| AttemptEnd::Unresponsive)?;
+        self.send_proven(request, sender, message, on_delivered).await.map_err(|error| match error {
+            SendError::Unsent(_) => AttemptEnd::ReturnedUnsent,
+            SendError::Broken => AttemptEnd::Reset,
+            SendError::Unproven => AttemptEnd::Unproven,
         })
     }
 
@@ -185,10 +277,25 @@
 async fn send(mut sender: Sender, message: Message) -> Result<Exchanged, SendError> {
     match sender.try_send_request(message).await {
         Ok(response) => Ok(Exchanged { response, sender }),
-        Err(mut error) => Err(SendError { unsent: error.take_message() }),
+        Err(mut error) => Err(match error.take_message() {
+            Some(unsent) => SendError::Unsent(Box::new(unsent)),
+            None => SendError::Broken,
+        }),
     }
 }
 
+/// The result of an exchange that ends in time.
+async fn within<T>(
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, AttemptEnd>>,
+) -> Result<T, AttemptEnd> {
+    let timed_out = async {
+        Timer::after(timeout).await;
+        Err(AttemptEnd::TimedOut)
+    };
+    future::or(exchange, timed_out).await
+}
+
 /// The load that the head of a response reports.
 fn load_in_head(response: &Response<Incoming>) -> Option<Load> {
     let header = response.headers().get("endpoint-load-metrics")?;
--- a/engine-client/src/request.rs
+++ b/engine-client/src/request.rs
@@ -32,6 +32,8 @@
     pub new_connection: bool,
     /// Time for establishing its connection.
     pub connect_timeout: Duration,
+    /// A KV cache is held for it meanwhile: its server must prove that it runs, before and after it is sent.
+    pub holds_cache: bool,
 }
 
 /// A KV cache that waits at its prefill server.
--- a/gateway-core/src/attempt_outcome.rs
+++ b/gateway-core/src/attempt_outcome.rs
@@ -17,6 +17,8 @@
     },
     /// No connection was established, so no byte of the request was written.
     NotConnected,
+    /// A connection was established, and its server did not answer a probe on it in time: the request was not written.
+    Unresponsive,
     /// The connection returned the request unwritten, and no other connection was available.
     ReturnedUnsent,
     /// The gateway itself did not send it: the send gate denied it, or all of its own connections are in use.
@@ -53,7 +55,7 @@
         match self {
             AttemptEnd::Completed => Outcome::Completed,
             AttemptEnd::PrefillDone { cached_tokens } => Outcome::PrefillDone { cached_tokens },
-            AttemptEnd::NotConnected => Outcome::ConnectFailed,
+            AttemptEnd::NotConnected | AttemptEnd::Unresponsive => Outcome::ConnectFailed,
             AttemptEnd::ReturnedUnsent | AttemptEnd::NotSent => Outcome::NeverSent,
             AttemptEnd::AtCapacity => Outcome::AtCapacity,
             AttemptEnd::KvCacheMissing => Outcome::KvCacheMissing,
@@ -69,6 +71,7 @@
         !matches!(
             self,
             AttemptEnd::NotConnected
+                | AttemptEnd::Unresponsive
                 | AttemptEnd::ReturnedUnsent
                 | AttemptEnd::NotSent
                 | AttemptEnd::Reset
@@ -82,6 +85,7 @@
     pub fn proves_not_run(self) -> bool {
         match self {
             AttemptEnd::NotConnected
+            | AttemptEnd::Unresponsive
             | AttemptEnd::ReturnedUnsent
             | AttemptEnd::NotSent
             | AttemptEnd::AtCapacity
--- a/gateway-core/src/request_table/buffered.rs
+++ b/gateway-core/src/request_table/buffered.rs
@@ -108,6 +108,11 @@
         self.store.manager.client_stall_ended(now, id);
     }
 
+    /// A running server provably has an attempt.
+    pub fn attempt_delivered(&mut self, id: SequenceId, attempt: usize) {
+        self.store.manager.attempt_delivered(id, attempt);
+    }
+
     /// An attempt ended, as its connection showed.
     pub fn attempt_ended(
         &mut self,
--- a/gateway-core/src/request_table/buffered/actions.rs
+++ b/gateway-core/src/request_table/buffered/actions.rs
@@ -22,8 +22,6 @@
     }
 
     fn send(&mut self, dispatch: Dispatch, commands: &mut Vec<Command<P>>) {
-        // Clients of model servers report an attempt that was not sent: what is not reported so was delivered.
-        self.store.manager.attempt_delivered(dispatch.id, dispatch.attempt);
         let Some(entry) = self.store.get_mut(dispatch.id) else { return };
         entry.tokens_delivered = dispatch.tokens_delivered;
         entry.may_have_run |= dispatch.step != Step::Prefill;
--- a/platform-engine-client/src/exchange.rs
+++ b/platform-engine-client/src/exchange.rs
@@ -185,7 +185,7 @@
         match self.probe(connection, route.address, probe, timeout).await {
             Ok(ProbedConnection::Usable(connection)) => Ok(connection),
             Ok(ProbedConnection::Closing) => self.connect(route.address, timeout).await,
-            Err(_) => Err(AttemptEnd::NotConnected),
+            Err(_) => Err(AttemptEnd::Unresponsive),
         }
     }
 
--- a/platform-engine-client/tests/server_behaviour/support.rs
+++ b/platform-engine-client/tests/server_behaviour/support.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// The same while a KV cache is held for it.
+pub fn held(address: SocketAddr) -> AttemptRequest {
+    let connect_timeout = Duration::from_millis(400);
+    AttemptRequest { holds_cache: true, connect_timeout, ..request(address) }
+}
+
 /// All events of a decode request, and how it ended. Panics after [`TEST_TIMEOUT`].
 pub async fn read_stream(client: &Client, address: SocketAddr) -> (String, Result<(), AttemptEnd>) {
     let mut forwarded = String::new();
