--- a/soak/tests/oracle.rs
+++ b/soak/tests/oracle.rs
@@ -216,3 +216,17 @@
     let bad = (ms(5_000), Event::InvalidRequestFinished { process: PROCESS, answered: false, served: false });
     assert_eq!(broken(with(Class::Idempotent, vec![bad])), [Rule::BadClient]);
 }
+
+#[test]
+fn request_at_a_stopped_server_stops_no_clock() {
+    // Its host has the decode request at once; the server reads it only once it goes on.
+    let stopped_for = |delay: u64| {
+        let delayed = |(at, event): (Time, Event)| match at {
+            at if at >= ms(1_021) && at < ms(END_MS) => (at + ms(delay), event),
+            at => (at, event),
+        };
+        valid_run(Class::Idempotent).into_iter().map(delayed).collect::<Vec<_>>()
+    };
+    assert_eq!(broken(stopped_for(400)), []);
+    assert_eq!(broken(stopped_for(1_000)), [Rule::Held]);
+}
