--- a/cli/tests/connection_edges.rs
+++ b/cli/tests/connection_edges.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use petrelshore_emulator::platform::{DiscoveryAgent, ModelServer, ServerBehavior, entry};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -627,3 +627,28 @@
     assert!(last < Duration::from_millis(300), "of 0.5 s to let go: {exchange:?}");
     drop((read, write));
 }
+
+/// More than the gateway of this deployment has places for clients.
+const CROWD: usize = 200;
+
+#[test]
+fn slowly_written_first_request_is_answered_in_a_crowd() {
+    let world = PlatformWorld::start("crowd-slow");
+    let text = request_text(1, "");
+    let (first, rest) = text.split_at(text.len() / 2);
+    let mut slow = world.connect();
+    slow.write_all(first.as_bytes()).unwrap();
+    // It is read, and older than everybody who comes now and says nothing.
+    std::thread::sleep(Duration::from_millis(100));
+    let crowd: Vec<TcpStream> = (0..CROWD)
+        .map(|_| {
+            std::thread::sleep(Duration::from_millis(2));
+            world.connect()
+        })
+        .collect();
+    slow.write_all(rest.as_bytes()).unwrap();
+    let mut status = String::new();
+    BufReader::new(slow).read_line(&mut status).unwrap();
+    assert!(status.starts_with("HTTP/1.1 200"), "'{status}' to a request that was read");
+    drop(crowd);
+}
