A connection with part of its first request gives up its place last

Cause: gateway-core/src/client_connections.rs, eviction_candidate: new connections went in order of age, also those with half a request; past eight that are closing the oldest is dropped, and the rest of its request may have come just then. Change: a phase for connections that have begun their first request; they go after silent and idle ones, only from a full table, after 0.3 s.

--- a/gateway-core/src/client_connections.rs
+++ b/gateway-core/src/client_connections.rs
@@ -31,6 +31,8 @@
 enum Phase {
     /// Its first complete request, since it was accepted.
     New { since: Nanos },
+    /// The rest of its first request, since it was accepted.
+    Started { since: Nanos },
     /// Its next request, since its last answer.
     Idle { since: Nanos },
     /// The answer to its request.
@@ -89,7 +91,8 @@
 
     fn admit(&mut self, now: Nanos) -> Entry {
         if self.connections.len() >= self.max_connections {
-            let any_new = self.connections.values().any(|phase| matches!(phase, Phase::New { .. }));
+            let is_new = |phase: &Phase| matches!(phase, Phase::New { .. } | Phase::Started { .. });
+            let any_new = self.connections.values().any(is_new);
             return if any_new { Entry::RetrySoon } else { Entry::Full };
         }
         let id = ConnectionId(self.next_id);
@@ -98,11 +101,13 @@
         Entry::Admitted(id)
     }
 
-    /// The first byte of a request has come. A connection that was idle is not closed from here on; a new one has to
-    /// bring the complete request first, or partial requests would fill the table.
+    /// The first byte of a request has come. A connection that was idle is not closed from here on; a new one is closed
+    /// after all others, and has to bring the complete request first: partial requests would fill the table.
     pub fn request_started(&mut self, id: ConnectionId) {
-        if matches!(self.connections.get(&id), Some(Phase::Idle { .. })) {
-            self.request_received(id);
+        match self.connections.get(&id) {
+            Some(Phase::Idle { .. }) => self.request_received(id),
+            Some(Phase::New { since }) => self.set_phase(id, Phase::Started { since: *since }),
+            _ => {}
         }
     }
 
@@ -129,7 +134,7 @@
     /// For how long a connection may wait for the first byte of its next request.
     pub fn idle_timeout(&self, id: ConnectionId) -> Nanos {
         match self.connections.get(&id) {
-            Some(Phase::New { .. }) => HEAD_TIMEOUT,
+            Some(Phase::New { .. } | Phase::Started { .. }) => HEAD_TIMEOUT,
             _ => MAX_IDLE,
         }
     }
@@ -138,7 +143,9 @@
     /// just now will bring a request, which is answered.
     pub fn keep_open_until(&self, id: ConnectionId) -> Nanos {
         match self.connections.get(&id) {
-            Some(Phase::New { since }) => since.saturating_add(CROWDED_MIN_SILENCE),
+            Some(Phase::New { since } | Phase::Started { since }) => {
+                since.saturating_add(CROWDED_MIN_SILENCE)
+            }
             _ => 0,
         }
     }
@@ -160,23 +167,29 @@
     }
 
     /// The connection to close for a new one, if the table is crowded: one whose last answer is written, else the new
-    /// one that was silent for longest, else the one that was idle for longest.
+    /// one that was silent for longest, else the one that was idle for longest. One that has sent part of its first
+    /// request goes last, and only from a full table: the rest may come just as it is closed, and would get no answer.
     fn eviction_candidate(
         &self,
         now: Nanos,
         is_silent: impl Fn(ConnectionId) -> bool,
     ) -> Option<ConnectionId> {
+        let full = self.connections.len() >= self.max_connections;
         let min_silence = match self.connections.len() {
-            open if open >= self.max_connections => FULL_MIN_SILENCE,
+            _ if full => FULL_MIN_SILENCE,
             open if open as f64 >= self.max_connections as f64 * CROWDED_SHARE => CROWDED_MIN_SILENCE,
             _ => return None,
         };
         let closing = |phase: Phase| (phase == Phase::Closing).then_some(0);
         let new = |phase: Phase| if let Phase::New { since } = phase { Some(since) } else { None };
         let idle = |phase: Phase| if let Phase::Idle { since } = phase { Some(since) } else { None };
+        let started = |phase: Phase| if let Phase::Started { since } = phase { Some(since) } else { None };
         self.longest_waiting(now, 0, closing, &is_silent)
             .or_else(|| self.longest_waiting(now, min_silence, new, &is_silent))
             .or_else(|| self.longest_waiting(now, MIN_IDLE, idle, &is_silent))
+            .or_else(|| {
+                full.then(|| self.longest_waiting(now, CROWDED_MIN_SILENCE, started, &is_silent)).flatten()
+            })
     }
 
     /// Of the connections that wait since `waiting_since`, for `min_wait` or more, the first on which nothing has come.
