Review case 2: an unstreamed answer holds a broken attempt's text too

Cause: a broken buffered stream is decoded again from its start, and the text of the broken attempt stays in the answer.

--- a/review/common/platform_standins.py
+++ b/review/common/platform_standins.py
@@ -11,6 +11,8 @@
 import secrets
 import shutil
 import signal
+import socket
+import struct
 import sys
 import tempfile
 import time
@@ -67,6 +69,8 @@
 class ModelServer:
     """A reader or writer. `delay` is the time of a read, or to the first token."""
 
+    zone = "glasgow-dc"
+
     def __init__(self, record, name, role, group=0):
         self.record, self.name, self.role, self.group = record, name, role, group
         self.status, self.since_ms = "active", 0
@@ -74,6 +78,7 @@
         self.runs = []  # (time, id) of each request that has arrived whole
         self.states = {}  # id -> time since when a state waits here
         self.hook = None  # async (server, id, fields, reader, writer) -> True if it has dealt with the request
+        self.writers = set()
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -81,11 +86,12 @@
         return self
 
     def entry(self):
-        return {"name": self.name, "address": self.address, "zone": "glasgow-dc",
+        return {"name": self.name, "address": self.address, "zone": ModelServer.zone,
                 "type": "reader" if self.role == "read" else "writer-a", "group": self.group, "status": self.status,
                 "weight": 1.0, "since_ms": self.since_ms}
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)):
                 line, fields = head
@@ -105,9 +111,10 @@
                         return
                     await self.answer(request, writer)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+        except (ConnectionError, asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     fleet = []  # all servers: a DELETE at any of them lets go of what all of them hold
@@ -134,8 +141,19 @@
         writer.write(b"0\r\n\r\n")
         self.record.note(f"{self.name}: request {request} answered")
 
-    async def stop(self):
+    def die(self):
+        """As when its process dies: its connections are reset, and new ones are refused."""
+        self.record.note(f"{self.name}: dies")
         self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+
+
+def reset(writer):
+    connection = writer.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 def event(writer, value):
@@ -192,7 +210,7 @@
                 body = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 await writer.drain()
-        except (ConnectionError, OSError):
+        except (ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -200,6 +218,8 @@
 
 
 class Gateway:
+    started = []
+
     def __init__(self, record, folder, settings, discovery, sockets=256, memory_mb=64):
         self.record, self.folder = record, folder
         self.settings, self.sockets, self.memory_mb = settings, sockets, memory_mb
@@ -225,6 +245,7 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, stdout=self.log, stderr=self.log,
             env={**os.environ, "LB_CONFIG": str(self.file), "TMPDIR": str(self.folder)})
+        Gateway.started.append(self)
         for _ in range(300):
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -252,7 +273,6 @@
 
 
 def free_port():
-    import socket
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         return taken.getsockname()[1]
@@ -296,8 +316,22 @@
     record = Record(pathlib.Path(case).resolve().parent / "record.txt")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="petrelshore-review-"))
     record.note(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
+
+    async def guarded():
+        # The time limit of run.sh ends the case by SIGTERM, and the gateway with it.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            return await main(record, folder)
+        finally:
+            for gateway in Gateway.started:
+                await gateway.end()
+
     try:
-        status = asyncio.run(main(record, folder))
+        status = asyncio.run(guarded())
+    except asyncio.CancelledError:
+        record.note("the case took too long")
+        status = 2
     except Exception as error:
         record.note(f"the case could not run: {error!r}")
         status = 2
