--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 GRACE = 0.25  # rules.drainGrace
 DEATH = 2.8  # from the notice to the end of the drained model server
 RELOAD = 1.5  # from the notice to the new configuration
-BEHIND = 3.0  # from the new configuration until the new address has what the old one told; the pages allow 4 s
+BEHIND = 2.0  # from the new configuration until the new address has what the old one told; the pages allow 4 s
 
 
 def settings():
