Give a replayed answer an id of its own

What callers saw: a stream of `petrelshore serve` ended without finish chunk, [DONE] or error event at the moment in which another client had read a repeated answer, or left it. Cause: BufferedRequests::accept gave a replay the id last_id + 1 but stored last_id for accepted requests only. The next accepted request got the same id, and answer_dropped of the replay removed that request's entry, which cancelled its attempt. "answer dropped" is logged now. Change: every admission takes its id (allocate_id); a replayed Answer has no handle on the request table (AnswerSource::Stored), so it can free nothing there, counts as no cancellation, and does not look up another request's failure.

--- a/chat-gateway/src/answer.rs
+++ b/chat-gateway/src/answer.rs
@@ -3,6 +3,7 @@
 use crate::state::GatewayState;
 use async_channel::{Receiver, TryRecvError};
 use event_listener::Event;
+use futures_lite::future;
 use petrelshore::interface::SequenceId;
 use petrelshore_gateway_core::buffered::FinalAnswer;
 use petrelshore_runtime::{EventDriven, wait_for};
@@ -17,21 +18,35 @@
     FinalAnswer(FinalAnswer),
 }
 
-/// The answer to a request, as a stream of texts and a final answer. Dropping an `Answer` before its final answer was
-/// read reports to the gateway that the client has left.
+/// The place that an answer's final answer comes from.
+pub(crate) enum AnswerSource {
+    /// A request in the request table, which has to learn when its answer is dropped.
+    Request {
+        /// The gateway that tracks the request.
+        state: Rc<GatewayState>,
+        /// Notified when the final answer is set.
+        final_answer_set: Rc<Event>,
+    },
+    /// The stored answer of an earlier request with the same idempotency key. The request table does not track it.
+    Stored(FinalAnswer),
+}
+
+/// The answer to a request, as a stream of texts and a final answer. Dropping the `Answer` of a request before its final
+/// answer was read reports to the gateway that the client has left.
 pub struct Answer {
-    pub(crate) id: SequenceId,
-    pub(crate) state: Rc<GatewayState>,
-    pub(crate) texts: Receiver<String>,
-    /// Notified when the final answer is set.
-    pub(crate) final_answer_set: Rc<Event>,
+    id: SequenceId,
+    texts: Receiver<String>,
+    source: AnswerSource,
     /// True once the ingress has read the final answer.
-    pub(crate) final_answer_read: bool,
-    /// The final answer of an earlier request with the same idempotency key, if this answer is a replay.
-    pub(crate) replayed: Option<FinalAnswer>,
+    final_answer_read: bool,
 }
 
 impl Answer {
+    /// Creates an answer of which nothing was read yet.
+    pub(crate) fn new(id: SequenceId, texts: Receiver<String>, source: AnswerSource) -> Self {
+        Answer { id, texts, source, final_answer_read: false }
+    }
+
     /// The id of the request.
     pub fn id(&self) -> SequenceId {
         self.id
@@ -62,23 +77,32 @@
     }
 
     /// Waits until the request has failed, and returns its final answer, even if unread texts are queued before the
-    /// final answer. So an ingress that can't send those texts to its client can still report the failure at once.
+    /// final answer. So an ingress that can't send those texts to its client can still report the failure at once. A
+    /// stored answer can't fail any more, so its texts come first and this waits for ever.
     pub async fn wait_for_failure(&mut self) -> FinalAnswer {
-        let failure = wait_for(&self.final_answer_set, || self.state.failure(self.id)).await;
+        let AnswerSource::Request { state, final_answer_set } = &self.source else {
+            return future::pending().await;
+        };
+        let failure = wait_for(final_answer_set, || state.failure(self.id)).await;
         self.final_answer_read = true;
         failure
     }
 
     fn take_final_answer(&mut self) -> Option<AnswerItem> {
         self.final_answer_read = true;
-        let replayed = self.replayed.take();
-        replayed.or_else(|| self.state.take_final_answer(self.id)).map(AnswerItem::FinalAnswer)
+        let final_answer = match &self.source {
+            AnswerSource::Request { state, .. } => state.take_final_answer(self.id),
+            AnswerSource::Stored(final_answer) => Some(final_answer.clone()),
+        };
+        final_answer.map(AnswerItem::FinalAnswer)
     }
 }
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        self.state.answer_dropped(self.id, self.final_answer_read);
+        if let AnswerSource::Request { state, .. } = &self.source {
+            state.answer_dropped(self.id, self.final_answer_read);
+        }
     }
 }
 
@@ -97,6 +121,7 @@
     /// Handles an ingress that dropped its [`Answer`]. `final_answer_read` is false if the client left before the final
     /// answer was read.
     fn answer_dropped(self: &Rc<Self>, id: SequenceId, final_answer_read: bool) {
+        self.log_answer_dropped(id, final_answer_read);
         self.apply(|requests, now, commands| {
             if final_answer_read {
                 requests.answer_consumed(now, id);
--- a/chat-gateway/src/event_log.rs
+++ b/chat-gateway/src/event_log.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Logs the end of an answer's use by its ingress. `final_answer_read` is false if the client left before.
+    pub(crate) fn log_answer_dropped(&self, id: SequenceId, final_answer_read: bool) {
+        debug!(request_id = id.0, final_answer_read, "answer dropped");
+    }
+
     /// Logs the final answer of a request.
     pub(crate) fn log_final_answer(&self, id: SequenceId, outcome: &FinalAnswer) {
         let completed = matches!(outcome, FinalAnswer::Completed { .. });
--- a/chat-gateway/src/gateway.rs
+++ b/chat-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The handle to a running gateway.
 
-use crate::answer::Answer;
+use crate::answer::{Answer, AnswerSource};
 use crate::generation_request::GenerationRequest;
 use crate::reload_error::ReloadError;
 use crate::state::{GatewayState, RequestEntry};
@@ -77,10 +77,10 @@
         let (mut commands, now) = (Vec::new(), state.event_loop.now());
         let admission = state.event_loop.requests_mut().accept(now, request, &mut commands);
         let (sender, texts) = async_channel::bounded(MAX_QUEUED_TEXTS);
-        let final_answer_set = Rc::new(Event::new());
-        let (id, replayed) = match admission {
+        let (id, source) = match admission {
             Admission::Rejected(rejection) => return Err(rejection),
             Admission::Accepted(id) => {
+                let final_answer_set = Rc::new(Event::new());
                 let entry = RequestEntry {
                     stop,
                     sampling,
@@ -91,7 +91,7 @@
                     attempt: AttemptSlot::default(),
                 };
                 state.entries.borrow_mut().insert(id, entry);
-                (id, None)
+                (id, AnswerSource::Request { state: state.clone(), final_answer_set })
             }
             Admission::Replayed { id, text, last } => {
                 if !text.is_empty() {
@@ -99,11 +99,11 @@
                     let _ = sender.try_send(text.to_string());
                 }
                 sender.close();
-                (id, Some(last))
+                (id, AnswerSource::Stored(last))
             }
         };
         state.execute_all(commands);
-        Ok(Answer { id, state: state.clone(), texts, final_answer_set, final_answer_read: false, replayed })
+        Ok(Answer::new(id, texts, source))
     }
 
     /// Stops accepting requests, lets running streams continue for the drain time, then terminates the remaining
--- a/gateway-core/src/request_table/buffered/admission.rs
+++ b/gateway-core/src/request_table/buffered/admission.rs
@@ -21,7 +21,7 @@
         if let Err(rejection) = self.check_admissible(now, &request) {
             return Admission::Rejected(rejection);
         }
-        let id = SequenceId(self.last_id.wrapping_add(1));
+        let id = self.allocate_id();
         let key = idempotency_key(&request);
         if let Some(key) = &key
             && let Some(admission) = self.begin_idempotent_request(now, id, key, &request)
@@ -34,7 +34,6 @@
             }
             return Admission::Rejected(self.capacity_rejection(now, error));
         }
-        self.last_id = id.0;
         let idempotent = self.idempotency_by_type[request.traffic.0] == Idempotency::Idempotent;
         let resumable = idempotent && request.relay == Relay::Streamed;
         let new = new_sequence(id, &request);
@@ -43,6 +42,12 @@
         Admission::Accepted(id)
     }
 
+    /// Returns an id that no other request and no replayed answer of this gateway has, even one that is not accepted.
+    fn allocate_id(&mut self) -> SequenceId {
+        self.last_id = self.last_id.wrapping_add(1);
+        SequenceId(self.last_id)
+    }
+
     /// Performs the checks that reserve neither capacity nor an idempotency key.
     fn check_admissible(&self, now: Nanos, request: &Request) -> Result<(), Rejection> {
         if self.draining {
--- a/gateway-core/src/request_table/buffered/message.rs
+++ b/gateway-core/src/request_table/buffered/message.rs
@@ -111,7 +111,7 @@
     /// An earlier request with the same idempotency key has ended. Its stored answer is replayed, or an abort if the
     /// answer is not stored.
     Replayed {
-        /// An id for the replayed answer.
+        /// The id of the replayed answer, which no request has. The request table does not track it.
         id: SequenceId,
         /// The complete text of the stored answer; empty if the answer is not stored.
         text: Rc<str>,
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -207,6 +207,35 @@
     );
 }
 
+/// Completes the request that a decode attempt belongs to, with one text.
+fn complete(requests: &mut BufferedRequests<u8>, id: SequenceId, decode: &OutgoingAttempt<u8>, text: &str) {
+    requests.first_token(2 * MS, &decode.dispatch, &mut Vec::new());
+    requests.receive_piece(id, Piece::Text(text.to_owned()));
+    requests.receive_piece(id, Piece::Finish("stop".to_owned()));
+    requests.attempt_ended(3 * MS, &decode.dispatch, AttemptEnd::Completed, &mut Vec::new());
+}
+
+/// Guards against a replayed answer whose id a later request gets as well: the end of the replay then ended that request
+/// without a final answer.
+#[test]
+fn replayed_answer_shares_its_id_with_no_request() {
+    let mut requests = requests(10);
+    let (first, decode) = accept_and_prefill(&mut requests, request(1, Some("k")));
+    complete(&mut requests, first, &decode, "a ");
+    let mut commands = Vec::new();
+    let Admission::Replayed { id: replayed, text, .. } =
+        requests.accept(4 * MS, request(1, Some("k")), &mut commands)
+    else {
+        panic!("the answer is not replayed")
+    };
+    let (other, decode) = accept_and_prefill(&mut requests, request(1, None));
+    assert!(&*text == "a " && replayed != first && replayed != other, "{first:?} {replayed:?} {other:?}");
+    requests.client_cancelled(5 * MS, replayed, &mut commands);
+    requests.answer_consumed(5 * MS, replayed);
+    complete(&mut requests, other, &decode, "b ");
+    assert_eq!((requests.counts().completed, requests.counts().cancelled), (2, 0));
+}
+
 #[test]
 fn rejected_request_leaves_no_entry() {
     let mut requests = requests(1);
