Drop the text of a broken attempt from an answer in one piece

What callers saw: answers with "stream": false and gRPC Complete answers held the tokens of a decode server that had died in front of the whole text of the next attempt, status 200; repeats by key got the same text. Cause: a broken answer of Relay::Buffered is decoded again from its start, but the texts of the broken attempt stayed in the answer's channel, in what the APIs had collected and in the request's entry, with its finish reason and usage. Change: begin_output decides at the first piece of each attempt whether earlier text still counts, first_token returns it (OutputStart), the attempt task passes AnswerPart::Restart on in order with the texts, and both APIs collect by Answer::complete, which stood twice before. The entry's text is cleared likewise. Tests: buffered_answer_hides_a_broken_decode_server only counted its answers and never made sure that one broke (the faulty server may not have been chosen); it now breaks the server that is busy, compares each text and counts the attempts.

--- a/chat-api/src/chat.rs
+++ b/chat-api/src/chat.rs
@@ -11,10 +11,8 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
-use petrelshore_chat_gateway::{Answer, AnswerItem, FinalAnswer, Gateway};
-use petrelshore_gateway_core::capacity::MAX_BUFFERED_ANSWER_BYTES;
-use petrelshore_gateway_core::error_response::{ErrorCause, ErrorResponse, Retry};
-use petrelshore_gateway_core::{FailureReason, Relay};
+use petrelshore_chat_gateway::{Answer, AnswerItem, CompleteAnswer, Gateway};
+use petrelshore_gateway_core::Relay;
 use petrelshore_ingress::call::{CallContext, unix_seconds};
 use petrelshore_ingress::error::CallError;
 use petrelshore_ingress::listener::ClientGuard;
@@ -106,25 +104,7 @@
 }
 
 /// Collects the complete answer before any part of it is sent. An answer over the size limit fails.
-async fn buffered(mut answer: Answer, info: &CompletionInfo) -> Result<ApiResponse, ApiError> {
-    let mut collected = String::new();
-    while let Some(next) = answer.next().await {
-        match next {
-            AnswerItem::Text(text) => collected.push_str(&text),
-            AnswerItem::FinalAnswer(FinalAnswer::Completed { finish_reason, usage }) => {
-                let body = completion(info, &collected, &finish_reason, usage);
-                return Ok(json_response(StatusCode::OK, &body));
-            }
-            AnswerItem::FinalAnswer(final_answer) => {
-                if let Some(error) = ApiError::from_final_answer(&final_answer) {
-                    return Err(error);
-                }
-            }
-        }
-        if collected.len() > MAX_BUFFERED_ANSWER_BYTES {
-            break;
-        }
-    }
-    let cause = ErrorCause::Aborted(FailureReason::AnswerTooLarge);
-    Err(ErrorResponse { cause, retry: Retry::Never }.into())
+async fn buffered(answer: Answer, info: &CompletionInfo) -> Result<ApiResponse, ApiError> {
+    let CompleteAnswer { text, finish_reason, usage } = answer.complete().await?;
+    Ok(json_response(StatusCode::OK, &completion(info, &text, &finish_reason, usage)))
 }
--- a/chat-gateway/src/answer.rs
+++ b/chat-gateway/src/answer.rs
@@ -1,11 +1,14 @@
 //! The answer to a request, as read by an ingress.
 
 use crate::state::GatewayState;
-use async_channel::{Receiver, TryRecvError};
+use async_channel::{Receiver, RecvError, TryRecvError};
 use event_listener::Event;
 use futures_lite::future;
 use petrelshore::interface::SequenceId;
-use petrelshore_gateway_core::buffered::FinalAnswer;
+use petrelshore_gateway_core::FailureReason;
+use petrelshore_gateway_core::buffered::{FinalAnswer, Usage};
+use petrelshore_gateway_core::capacity::MAX_BUFFERED_ANSWER_BYTES;
+use petrelshore_gateway_core::error_response::ErrorResponse;
 use petrelshore_runtime::{EventDriven, wait_for};
 use std::rc::Rc;
 
@@ -18,6 +21,27 @@
     FinalAnswer(FinalAnswer),
 }
 
+/// An answer that was read to its end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CompleteAnswer {
+    /// The whole generated text.
+    pub text: String,
+    /// The finish reason, as spelled in the API.
+    pub finish_reason: String,
+    /// The token counts.
+    pub usage: Usage,
+}
+
+/// A part of an answer in the channel from the attempt tasks to the [`Answer`].
+#[derive(Debug)]
+pub(crate) enum AnswerPart {
+    /// Further text.
+    Text(String),
+    /// All earlier texts are void: another attempt generates the answer from its start. Sent only for
+    /// [`Relay::Buffered`](petrelshore_gateway_core::Relay::Buffered), of which the client has received nothing.
+    Restart,
+}
+
 /// The place that an answer's final answer comes from.
 pub(crate) enum AnswerSource {
     /// A request in the request table, which has to learn when its answer is dropped.
@@ -35,7 +59,7 @@
 /// answer was read reports to the gateway that the client has left.
 pub struct Answer {
     id: SequenceId,
-    texts: Receiver<String>,
+    parts: Receiver<AnswerPart>,
     source: AnswerSource,
     /// True once the ingress has read the final answer.
     final_answer_read: bool,
@@ -43,8 +67,8 @@
 
 impl Answer {
     /// Creates an answer of which nothing was read yet.
-    pub(crate) fn new(id: SequenceId, texts: Receiver<String>, source: AnswerSource) -> Self {
-        Answer { id, texts, source, final_answer_read: false }
+    pub(crate) fn new(id: SequenceId, parts: Receiver<AnswerPart>, source: AnswerSource) -> Self {
+        Answer { id, parts, source, final_answer_read: false }
     }
 
     /// The id of the request.
@@ -54,25 +78,58 @@
 
     /// Waits for the next text or the final answer, and returns it. Returns `None` after the final answer.
     pub async fn next(&mut self) -> Option<AnswerItem> {
-        if self.final_answer_read {
-            return None;
-        }
-        // The channel is closed once the final answer is set. Texts that were queued before are still received.
-        if let Ok(text) = self.texts.recv().await {
-            return Some(AnswerItem::Text(text));
+        while !self.final_answer_read {
+            // The channel is closed once the final answer is set. Parts that were queued before are still received.
+            match self.parts.recv().await {
+                Ok(AnswerPart::Text(text)) => return Some(AnswerItem::Text(text)),
+                Ok(AnswerPart::Restart) => {}
+                Err(RecvError) => return self.take_final_answer(),
+            }
         }
-        self.take_final_answer()
+        None
     }
 
     /// Returns the next text or the final answer if either is available, without waiting.
     pub fn try_next(&mut self) -> Option<AnswerItem> {
-        if self.final_answer_read {
-            return None;
+        while !self.final_answer_read {
+            match self.parts.try_recv() {
+                Ok(AnswerPart::Text(text)) => return Some(AnswerItem::Text(text)),
+                Ok(AnswerPart::Restart) => {}
+                Err(TryRecvError::Empty) => return None,
+                Err(TryRecvError::Closed) => return self.take_final_answer(),
+            }
         }
-        match self.texts.try_recv() {
-            Ok(text) => Some(AnswerItem::Text(text)),
-            Err(TryRecvError::Empty) => None,
-            Err(TryRecvError::Closed) => self.take_final_answer(),
+        None
+    }
+
+    /// Reads the answer to its end. Returns the error for the client if the request fails, or if the text is longer than
+    /// [`MAX_BUFFERED_ANSWER_BYTES`].
+    pub async fn complete(self) -> Result<CompleteAnswer, ErrorResponse> {
+        let mut text = String::new();
+        loop {
+            match self.parts.recv().await {
+                Ok(AnswerPart::Text(part)) => text.push_str(&part),
+                Ok(AnswerPart::Restart) => text.clear(),
+                Err(RecvError) => return self.into_complete(text),
+            }
+            if text.len() > MAX_BUFFERED_ANSWER_BYTES {
+                return Err(ErrorResponse::aborted(FailureReason::AnswerTooLarge));
+            }
+        }
+    }
+
+    fn into_complete(mut self, text: String) -> Result<CompleteAnswer, ErrorResponse> {
+        let Some(AnswerItem::FinalAnswer(final_answer)) = self.take_final_answer() else {
+            return Err(ErrorResponse::aborted(FailureReason::StreamBroken));
+        };
+        match final_answer {
+            FinalAnswer::Completed { finish_reason, usage } => {
+                Ok(CompleteAnswer { text, finish_reason, usage })
+            }
+            FinalAnswer::Rejected { retry_after, reason } => {
+                Err(ErrorResponse::rejected(retry_after, reason))
+            }
+            FinalAnswer::Aborted { reason } => Err(ErrorResponse::aborted(reason)),
         }
     }
 
--- a/chat-gateway/src/attempts.rs
+++ b/chat-gateway/src/attempts.rs
@@ -1,13 +1,14 @@
 //! Attempts at model servers. Each attempt has its own attempt task, which runs from the command that sends the attempt
 //! to the end of the attempt.
 
+use crate::answer::AnswerPart;
 use crate::state::GatewayState;
 use async_executor::Task;
 use petrelshore::interface::{LoadReport, Nanos, SequenceId, ServerId, Step};
 use petrelshore_engine_client::{CompletionRequest, DecodeStream, Load};
 use petrelshore_gateway_core::Dispatch;
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
-use petrelshore_gateway_core::buffered::{OutgoingAttempt, Piece};
+use petrelshore_gateway_core::buffered::{OutgoingAttempt, OutputStart, Piece};
 use petrelshore_runtime::{Delivery, EventDriven};
 use serde_json::value::RawValue;
 use std::rc::Rc;
@@ -111,7 +112,9 @@
                 self.event_loop.requests_mut().token_received(now, dispatch.id);
             } else {
                 stream_started = true;
-                self.apply(|requests, now, commands| requests.first_token(now, &dispatch, commands));
+                if self.start_output(&dispatch).await == Delivery::Closed {
+                    return StreamEnd::Unread;
+                }
             }
             if self.forward_piece(dispatch.id, piece).await == Delivery::Closed {
                 return StreamEnd::Unread;
@@ -119,15 +122,32 @@
         }
     }
 
+    /// Reports the first piece of an attempt. Tells the ingress if the texts of earlier attempts are void.
+    async fn start_output(self: &Rc<Self>, dispatch: &Dispatch) -> Delivery {
+        let mut start = OutputStart::Continues;
+        self.apply(|requests, now, commands| start = requests.first_token(now, dispatch, commands));
+        match start {
+            OutputStart::Continues => Delivery::Delivered,
+            OutputStart::Restarts => {
+                self.log_answer_restarted(dispatch);
+                self.forward_part(dispatch.id, AnswerPart::Restart).await
+            }
+        }
+    }
+
     async fn forward_piece(self: &Rc<Self>, id: SequenceId, piece: Piece) -> Delivery {
         let text = match self.event_loop.requests_mut().receive_piece(id, piece) {
             Some(Some(text)) => text,
             Some(None) => return Delivery::Delivered,
             None => return Delivery::Closed,
         };
-        let sender = self.entries.borrow().get(&id).map(|entry| entry.texts.clone());
+        self.forward_part(id, AnswerPart::Text(text)).await
+    }
+
+    async fn forward_part(self: &Rc<Self>, id: SequenceId, part: AnswerPart) -> Delivery {
+        let sender = self.entries.borrow().get(&id).map(|entry| entry.parts.clone());
         match sender {
-            Some(sender) => self.forward(id, &sender, text).await,
+            Some(sender) => self.forward(id, &sender, part).await,
             None => Delivery::Closed,
         }
     }
--- a/chat-gateway/src/commands.rs
+++ b/chat-gateway/src/commands.rs
@@ -40,7 +40,7 @@
         self.log_final_answer(id, &outcome);
         if let Some(entry) = self.entries.borrow_mut().get_mut(&id) {
             entry.final_answer = Some(outcome);
-            entry.texts.close();
+            entry.parts.close();
             entry.final_answer_set.notify(usize::MAX);
         }
         self.request_finished.notify(usize::MAX);
--- a/chat-gateway/src/event_log.rs
+++ b/chat-gateway/src/event_log.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Logs that an attempt generates an answer anew, of which an earlier attempt had sent a part.
+    pub(crate) fn log_answer_restarted(&self, dispatch: &Dispatch) {
+        let Dispatch { id, attempt, server, .. } = *dispatch;
+        debug!(request_id = id.0, attempt, server = server.0, "answer restarted");
+    }
+
     /// Logs the end of an answer's use by its ingress. `final_answer_read` is false if the client left before.
     pub(crate) fn log_answer_dropped(&self, id: SequenceId, final_answer_read: bool) {
         debug!(request_id = id.0, final_answer_read, "answer dropped");
--- a/chat-gateway/src/gateway.rs
+++ b/chat-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The handle to a running gateway.
 
-use crate::answer::{Answer, AnswerSource};
+use crate::answer::{Answer, AnswerPart, AnswerSource};
 use crate::generation_request::GenerationRequest;
 use crate::reload_error::ReloadError;
 use crate::state::{GatewayState, RequestEntry};
@@ -17,9 +17,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The maximum number of texts that are queued for a client that does not read them. Beyond this number, the attempt
+/// The maximum number of parts that are queued for a client that does not read them. Beyond this number, the attempt
 /// stops reading from its server.
-const MAX_QUEUED_TEXTS: usize = 16;
+const MAX_QUEUED_PARTS: usize = 16;
 
 /// A handle to a running gateway. A clone refers to the same gateway.
 #[derive(Clone)]
@@ -76,7 +76,7 @@
         let model = request.model.clone();
         let (mut commands, now) = (Vec::new(), state.event_loop.now());
         let admission = state.event_loop.requests_mut().accept(now, request, &mut commands);
-        let (sender, texts) = async_channel::bounded(MAX_QUEUED_TEXTS);
+        let (sender, parts) = async_channel::bounded(MAX_QUEUED_PARTS);
         let (id, source) = match admission {
             Admission::Rejected(rejection) => return Err(rejection),
             Admission::Accepted(id) => {
@@ -85,7 +85,7 @@
                     stop,
                     sampling,
                     model,
-                    texts: sender,
+                    parts: sender,
                     final_answer: None,
                     final_answer_set: final_answer_set.clone(),
                     attempt: AttemptSlot::default(),
@@ -96,14 +96,14 @@
             Admission::Replayed { id, text, last } => {
                 if !text.is_empty() {
                     // The channel is new, so it has capacity for this text.
-                    let _ = sender.try_send(text.to_string());
+                    let _ = sender.try_send(AnswerPart::Text(text.to_string()));
                 }
                 sender.close();
                 (id, AnswerSource::Stored(last))
             }
         };
         state.execute_all(commands);
-        Ok(Answer::new(id, texts, source))
+        Ok(Answer::new(id, parts, source))
     }
 
     /// Stops accepting requests, lets running streams continue for the drain time, then terminates the remaining
--- a/chat-gateway/src/lib.rs
+++ b/chat-gateway/src/lib.rs
@@ -20,7 +20,7 @@
 mod reload_error;
 mod state;
 
-pub use answer::{Answer, AnswerItem};
+pub use answer::{Answer, AnswerItem, CompleteAnswer};
 pub use gateway::Gateway;
 pub use generation_request::GenerationRequest;
 pub use petrelshore::interface::Idempotency;
--- a/chat-gateway/src/state.rs
+++ b/chat-gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks of a gateway share.
 
+use crate::answer::AnswerPart;
 use async_channel::Sender;
 use event_listener::Event;
 use petrelshore::interface::{SequenceId, ServerId};
@@ -24,9 +25,9 @@
     pub(crate) stop: Rc<[String]>,
     pub(crate) sampling: Rc<serde_json::Map<String, serde_json::Value>>,
     pub(crate) model: Rc<str>,
-    /// The channel to the [`Answer`](crate::Answer). The attempt task sends texts; the final answer closes the channel.
-    pub(crate) texts: Sender<String>,
-    /// The final answer, set once, before `texts` is closed. The [`Answer`](crate::Answer) takes it.
+    /// The channel to the [`Answer`](crate::Answer). The attempt task sends parts; the final answer closes the channel.
+    pub(crate) parts: Sender<AnswerPart>,
+    /// The final answer, set once, before `parts` is closed. The [`Answer`](crate::Answer) takes it.
     pub(crate) final_answer: Option<FinalAnswer>,
     /// Notified when `final_answer` is set.
     pub(crate) final_answer_set: Rc<Event>,
--- a/e2e/tests/grpc_cases.rs
+++ b/e2e/tests/grpc_cases.rs
@@ -524,21 +524,30 @@
     });
 }
 
+/// Guards against a buffered answer that holds the text of a broken attempt too.
 #[test]
 fn buffered_answer_hides_a_broken_decode_server() {
+    let generated = |tokens| (1..=tokens).map(|number| format!("t{number} ")).collect::<String>();
     run_case("grpc-buffered", "attempts = 8", |testbed| async move {
         let mut connection = GrpcConnection::open(&testbed).await;
         let path = format!("/{SERVICE}/Complete");
         let answers: Vec<v1::ChatAnswer> = connection.request_messages(&path, &message(&chat(12))).await;
         let [answer] = answers.as_slice() else { panic!("{answers:?}") };
-        assert!(answer.text.starts_with("t1 ") && answer.text.contains("t12 "), "{answer:?}");
-        assert_eq!(answer.usage.map(|usage| usage.completion_tokens), Some(12));
-        // One of the two decode servers breaks every answer. The client has received no part of a buffered answer, so
-        // the gateway generates the answer again on the other server.
-        testbed.set_fault("writer-1-1", Fault::ResetAfter(2));
+        let tokens = answer.usage.map(|usage| usage.completion_tokens);
+        assert_eq!((answer.text.as_str(), tokens), (generated(12).as_str(), Some(12)));
+        // The client has received no part of a buffered answer, so the gateway generates it again on the other server
+        // after a break, and passes on nothing of the broken attempt.
+        let question = message(&chat(40));
+        let call = connection.request_messages::<v1::ChatAnswer>(&path, &question);
+        let (answers, ()) = future::zip(call, testbed.break_running_answer()).await;
+        let [answer] = answers.as_slice() else { panic!("{answers:?}") };
+        assert_eq!(answer.text, generated(40));
+        assert_eq!(testbed.arrivals(Step::Decode), 3, "the answer has to break once");
+        // All later answers avoid the broken server or are generated again as well.
         for _ in 0..4 {
             let answers: Vec<v1::ChatAnswer> = connection.request_messages(&path, &message(&chat(12))).await;
-            assert_eq!(answers.len(), 1);
+            let [answer] = answers.as_slice() else { panic!("{answers:?}") };
+            assert_eq!(answer.text, generated(12));
         }
         testbed.assert_clean().await;
     });
--- a/e2e/tests/hard_cases.rs
+++ b/e2e/tests/hard_cases.rs
@@ -154,17 +154,8 @@
 #[test]
 fn broken_idempotent_stream_resumes_at_its_last_token() {
     run_case("stream-resumes", small_fleet(), "attempts = 6", |testbed| async move {
-        let break_stream = async {
-            Timer::after(Duration::from_millis(60)).await;
-            let busy = |name: &&str| testbed.fleet.server(name).is_some_and(|s| s.in_flight() > 0);
-            let name = ["writer-1-1", "writer-1-2"]
-                .into_iter()
-                .find(busy)
-                .expect("a decode server has the request in flight");
-            testbed.set_fault(name, Fault::ResetAfter(0));
-        };
-        let (observation, ()) =
-            future::zip(testbed.ask("workshop-chat", 30, CLIENT_TIMEOUT), break_stream).await;
+        let answer = testbed.ask("workshop-chat", 30, CLIENT_TIMEOUT);
+        let (observation, ()) = future::zip(answer, testbed.break_running_answer()).await;
         assert_eq!(
             (observation.outcome, observation.tokens),
             (FinalOutcome::Completed, 30),
--- a/e2e/tests/testbed/mod.rs
+++ b/e2e/tests/testbed/mod.rs
@@ -21,6 +21,9 @@
 /// Timeout of a client, longer than any rule allows a response to take.
 pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The time within which a server that decodes fast has sent the first tokens of an answer, but not an answer of 30.
+const TIME_TO_FIRST_TOKENS: Duration = Duration::from_millis(60);
+
 /// The API and the addresses by which a client reaches the gateway under test.
 #[derive(Clone, Copy)]
 pub struct Route {
@@ -81,6 +84,15 @@
         servers.for_each(|server| server.set_fault(fault));
     }
 
+    /// Waits until a decode server of the first cell has sent some tokens of the request in flight, and then has it reset
+    /// the connections of its answers.
+    pub async fn break_running_answer(&self) {
+        Timer::after(TIME_TO_FIRST_TOKENS).await;
+        let busy = |name: &&str| self.fleet.server(name).is_some_and(|server| server.in_flight() > 0);
+        let name = ["writer-1-1", "writer-1-2"].into_iter().find(busy);
+        self.set_fault(name.expect("a decode server has the request in flight"), Fault::ResetAfter(0));
+    }
+
     /// Returns the number of requests for a step that arrived at servers.
     pub fn arrivals(&self, step: Step) -> usize {
         let is_step =
--- a/gateway-core/src/error_response.rs
+++ b/gateway-core/src/error_response.rs
@@ -83,17 +83,25 @@
 }
 
 impl ErrorResponse {
+    /// The error of a request that was rejected. Without `retry_after`, the default time to wait applies.
+    pub fn rejected(retry_after: Option<Nanos>, reason: FailureReason) -> ErrorResponse {
+        let retry = Retry::After(retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
+        ErrorResponse { cause: ErrorCause::Rejected(reason), retry }
+    }
+
+    /// The error of a request that was aborted.
+    pub fn aborted(reason: FailureReason) -> ErrorResponse {
+        ErrorResponse { cause: ErrorCause::Aborted(reason), retry: Retry::Never }
+    }
+
     /// The error of a final answer; none for a completed one.
     pub fn from_final_answer(answer: &FinalAnswer) -> Option<ErrorResponse> {
         match answer {
             FinalAnswer::Completed { .. } => None,
-            FinalAnswer::Rejected { retry_after, reason } => Some(ErrorResponse {
-                cause: ErrorCause::Rejected(*reason),
-                retry: Retry::After(retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
-            }),
-            FinalAnswer::Aborted { reason } => {
-                Some(ErrorResponse { cause: ErrorCause::Aborted(*reason), retry: Retry::Never })
+            FinalAnswer::Rejected { retry_after, reason } => {
+                Some(ErrorResponse::rejected(*retry_after, *reason))
             }
+            FinalAnswer::Aborted { reason } => Some(ErrorResponse::aborted(*reason)),
         }
     }
 }
--- a/gateway-core/src/request_manager/new_sequence.rs
+++ b/gateway-core/src/request_manager/new_sequence.rs
@@ -7,7 +7,7 @@
 pub enum Relay {
     /// Token by token. A broken stream can only be resumed after the tokens that the client has received.
     Streamed,
-    /// As one complete answer. A broken stream may be decoded again from its start.
+    /// As one complete answer. A broken stream may be decoded again from its start, which makes its text void.
     Buffered,
     /// As the unchanged events of one decode server. A broken stream ends the sequence.
     Passthrough,
--- a/gateway-core/src/request_table/buffered.rs
+++ b/gateway-core/src/request_table/buffered.rs
@@ -12,7 +12,7 @@
 mod message;
 
 pub use command::{Command, OutgoingAttempt};
-pub use message::{Admission, FinalAnswer, Piece, Rejection, Request, Usage};
+pub use message::{Admission, FinalAnswer, OutputStart, Piece, Rejection, Request, Usage};
 
 use super::action_handler::ActionHandler;
 use super::store::RequestStore;
@@ -80,9 +80,17 @@
     }
 
     /// Handles the first piece of an answer, which shows that the decode server has fetched its KV cache. Releases the
-    /// KV caches of earlier prefills, whose decode servers failed before they had fetched them.
-    pub fn first_token(&mut self, now: Nanos, dispatch: &Dispatch, commands: &mut Vec<Command<P>>) {
+    /// KV caches of earlier prefills, whose decode servers failed before they had fetched them. Returns whether the text
+    /// of earlier attempts, which the caller may have passed on, is still part of the answer.
+    pub fn first_token(
+        &mut self,
+        now: Nanos,
+        dispatch: &Dispatch,
+        commands: &mut Vec<Command<P>>,
+    ) -> OutputStart {
+        let mut start = OutputStart::Continues;
         if let Some(entry) = self.store.get_mut(dispatch.id) {
+            start = entry.begin_output(dispatch.tokens_delivered);
             if let Some(server) = dispatch.prefill_server {
                 entry.remove_cache_at(server);
             }
@@ -93,6 +101,7 @@
         }
         self.release(now, dispatch.id, commands);
         self.store.manager.first_token(now, dispatch.id, dispatch.attempt);
+        start
     }
 
     /// Records the arrival of a further piece of an answer.
--- a/gateway-core/src/request_table/buffered/entry.rs
+++ b/gateway-core/src/request_table/buffered/entry.rs
@@ -1,6 +1,6 @@
 //! The state of one request in the buffered request table.
 
-use super::message::{FinalAnswer, Piece, Request, Usage};
+use super::message::{FinalAnswer, OutputStart, Piece, Request, Usage};
 use crate::cache_releases::CacheRelease;
 use crate::cancellation_limits::ClientId;
 use crate::idempotency::IdempotencyKey;
@@ -27,6 +27,8 @@
     /// The text received so far, collected only if a repeat of the request may ask for the answer or the stream may be
     /// resumed.
     pub(super) text: Option<String>,
+    /// Set once text of the current course of the answer was received, whether or not it is collected.
+    text_received: bool,
     /// Number of tokens that earlier attempts had delivered when the latest attempt was sent.
     pub(super) tokens_delivered: u32,
     /// Set once an attempt that decodes was sent: part of the request may have taken effect.
@@ -41,6 +43,7 @@
     pub(super) fn new(request: Request, collects_text: bool) -> Self {
         RequestEntry {
             text: collects_text.then(String::new),
+            text_received: false,
             request,
             caches: Vec::new(),
             finish_reason: None,
@@ -69,10 +72,27 @@
         self.caches.iter().rposition(|cache| cache.release.server == server)
     }
 
+    /// Prepares the record of the answer for the output of an attempt, which continues the answer after
+    /// `tokens_delivered` tokens. An attempt that generates the answer from its start makes the text of earlier attempts
+    /// void.
+    pub(super) fn begin_output(&mut self, tokens_delivered: u32) -> OutputStart {
+        self.finish_reason = None;
+        self.usage = Usage::default();
+        if tokens_delivered > 0 || !self.text_received {
+            return OutputStart::Continues;
+        }
+        self.text_received = false;
+        if let Some(collected) = &mut self.text {
+            collected.clear();
+        }
+        OutputStart::Restarts
+    }
+
     /// Records a piece of the answer. Returns the text of a text piece for the client.
     pub(super) fn record(&mut self, piece: Piece) -> Option<String> {
         match piece {
             Piece::Text(text) => {
+                self.text_received = true;
                 if let Some(collected) = &mut self.text {
                     collected.push_str(&text);
                 }
--- a/gateway-core/src/request_table/buffered/message.rs
+++ b/gateway-core/src/request_table/buffered/message.rs
@@ -122,6 +122,16 @@
     Rejected(Rejection),
 }
 
+/// The relation of an attempt's output to the text that earlier attempts of its request have produced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use = "text that was passed on before may be void"]
+pub enum OutputStart {
+    /// The output follows the earlier text, if there is any.
+    Continues,
+    /// The attempt generates the answer from its start. The earlier text is not part of the answer.
+    Restarts,
+}
+
 /// A piece of an answer, as received from a decode server.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Piece {
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -8,8 +8,8 @@
 };
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
 use petrelshore_gateway_core::buffered::{
-    Admission, BufferedRequests, Command, FinalAnswer, OutgoingAttempt, Piece, Rejection, Request, Usage,
-    request_id,
+    Admission, BufferedRequests, Command, FinalAnswer, OutgoingAttempt, OutputStart, Piece, Rejection,
+    Request, Usage, request_id,
 };
 use petrelshore_gateway_core::cache_releases::ReleaseOutcome;
 use petrelshore_gateway_core::token_estimate::{Message, estimate_prompt};
@@ -112,7 +112,7 @@
     let mut requests = requests(10);
     let (id, first) = accept_and_prefill(&mut requests, request(0, None));
     assert_eq!((first.transfer_params, &*first.prompt, first.max_tokens), (Some(7), "why", 10));
-    requests.first_token(2 * MS, &first.dispatch, &mut Vec::new());
+    assert_eq!(requests.first_token(2 * MS, &first.dispatch, &mut Vec::new()), OutputStart::Continues);
     requests.receive_piece(id, Piece::Text("a ".to_owned()));
     requests.token_received(3 * MS, id);
     requests.receive_piece(id, Piece::Text("b ".to_owned()));
@@ -123,7 +123,7 @@
     commands.clear();
     requests.prefill_done(5 * MS, &retry.dispatch, 0.0, 8, &mut commands);
     let decode = sent_attempt(&commands).clone();
-    requests.first_token(6 * MS, &decode.dispatch, &mut Vec::new());
+    assert_eq!(requests.first_token(6 * MS, &decode.dispatch, &mut Vec::new()), OutputStart::Continues);
     requests.receive_piece(id, Piece::Finish("stop".to_owned()));
     requests.receive_piece(id, Piece::Usage(Usage { prompt_tokens: 12, completion_tokens: 8 }));
     commands.clear();
@@ -151,7 +151,7 @@
     let decode = sent_attempt(&commands).clone();
     assert_eq!(decode.transfer_params, Some(8));
     commands.clear();
-    requests.first_token(4 * MS, &decode.dispatch, &mut commands);
+    assert_eq!(requests.first_token(4 * MS, &decode.dispatch, &mut commands), OutputStart::Continues);
     let first_server = first.dispatch.prefill_server.unwrap();
     assert!(
         matches!(&commands[..], [Command::Release(release)] if release.server == first_server && release.request_id == request_id(id, 0)),
@@ -209,12 +209,44 @@
 
 /// Completes the request that a decode attempt belongs to, with one text.
 fn complete(requests: &mut BufferedRequests<u8>, id: SequenceId, decode: &OutgoingAttempt<u8>, text: &str) {
-    requests.first_token(2 * MS, &decode.dispatch, &mut Vec::new());
+    let _ = requests.first_token(2 * MS, &decode.dispatch, &mut Vec::new());
     requests.receive_piece(id, Piece::Text(text.to_owned()));
     requests.receive_piece(id, Piece::Finish("stop".to_owned()));
     requests.attempt_ended(3 * MS, &decode.dispatch, AttemptEnd::Completed, &mut Vec::new());
 }
 
+/// Guards against an answer in one piece that holds the output of a broken attempt in front of the next one's, for the
+/// first client and for repeats.
+#[test]
+fn buffered_answer_holds_only_the_output_of_its_last_attempt() {
+    let mut requests = requests(10);
+    let buffered = Request { relay: Relay::Buffered, ..request(0, Some("k")) };
+    let (id, broken) = accept_and_prefill(&mut requests, buffered.clone());
+    assert_eq!(requests.first_token(2 * MS, &broken.dispatch, &mut Vec::new()), OutputStart::Continues);
+    requests.receive_piece(id, Piece::Text("a ".to_owned()));
+    requests.receive_piece(id, Piece::Finish("length".to_owned()));
+    let mut commands = Vec::new();
+    requests.attempt_ended(3 * MS, &broken.dispatch, AttemptEnd::Reset, &mut commands);
+    let prefill = sent_attempt(&commands).clone();
+    commands.clear();
+    requests.prefill_done(4 * MS, &prefill.dispatch, 0.0, 8, &mut commands);
+    let decode = sent_attempt(&commands).clone();
+    assert_eq!((&*decode.prompt, decode.max_tokens), ("why", 10));
+    assert_eq!(requests.first_token(5 * MS, &decode.dispatch, &mut commands), OutputStart::Restarts);
+    requests.receive_piece(id, Piece::Text("b ".to_owned()));
+    let usage = Usage { prompt_tokens: 3, completion_tokens: 1 };
+    requests.receive_piece(id, Piece::Usage(usage));
+    commands.clear();
+    requests.attempt_ended(6 * MS, &decode.dispatch, AttemptEnd::Completed, &mut commands);
+    let answer = FinalAnswer::Completed { finish_reason: "stop".to_owned(), usage };
+    assert_eq!(commands, [Command::Answer { id, last: answer.clone() }]);
+    requests.answer_consumed(7 * MS, id);
+    let Admission::Replayed { text, last, .. } = requests.accept(8 * MS, buffered, &mut commands) else {
+        panic!("the answer is not replayed")
+    };
+    assert_eq!((&*text, last), ("b ", answer));
+}
+
 /// Guards against a replayed answer whose id a later request gets as well: the end of the replay then ended that request
 /// without a final answer.
 #[test]
--- a/grpc-api/src/chat.rs
+++ b/grpc-api/src/chat.rs
@@ -8,8 +8,7 @@
 use futures_lite::future;
 use http::HeaderMap;
 use petrelshore::interface::Nanos;
-use petrelshore_chat_gateway::{Answer, AnswerItem, FinalAnswer, Usage};
-use petrelshore_gateway_core::capacity::MAX_BUFFERED_ANSWER_BYTES;
+use petrelshore_chat_gateway::{Answer, AnswerItem, CompleteAnswer, FinalAnswer, Usage};
 use petrelshore_gateway_core::error_response::ErrorResponse;
 use petrelshore_gateway_core::{FailureReason, Relay, timeouts};
 use petrelshore_ingress::call::{CallContext, unix_seconds};
@@ -105,27 +104,14 @@
 }
 
 /// Collects the complete answer before any of it is sent.
-async fn send_buffered(
-    responder: &mut Responder,
-    mut answer: Answer,
-    begun: v1::Begun,
-) -> Result<(), RpcError> {
-    let mut text = String::new();
-    while text.len() <= MAX_BUFFERED_ANSWER_BYTES {
-        match responder.unless_disconnected(answer.next()).await? {
-            Some(AnswerItem::Text(more)) => text.push_str(&more),
-            Some(AnswerItem::FinalAnswer(FinalAnswer::Completed { finish_reason, usage })) => {
-                responder.send_head(Some(&begun.id))?;
-                let v1::Begun { id, model, created } = begun;
-                let usage = Some(usage_message(usage));
-                let answer = v1::ChatAnswer { id, model, created, text, finish_reason, usage };
-                return responder.send(message::encode(&answer), None).await;
-            }
-            Some(AnswerItem::FinalAnswer(failure)) => return Err(RpcError::from_final_answer(&failure)),
-            None => return Err(RpcError::aborted(FailureReason::StreamBroken)),
-        }
-    }
-    Err(RpcError::aborted(FailureReason::AnswerTooLarge))
+async fn send_buffered(responder: &mut Responder, answer: Answer, begun: v1::Begun) -> Result<(), RpcError> {
+    let CompleteAnswer { text, finish_reason, usage } =
+        responder.unless_disconnected(answer.complete()).await??;
+    responder.send_head(Some(&begun.id))?;
+    let v1::Begun { id, model, created } = begun;
+    let usage = Some(usage_message(usage));
+    let answer = v1::ChatAnswer { id, model, created, text, finish_reason, usage };
+    responder.send(message::encode(&answer), None).await
 }
 
 fn event(event: Event) -> v1::ChatEvent {
--- a/grpc-api/src/error.rs
+++ b/grpc-api/src/error.rs
@@ -2,7 +2,7 @@
 
 use petrelshore_chat_gateway::FinalAnswer;
 use petrelshore_gateway_core::FailureReason;
-use petrelshore_gateway_core::error_response::{ErrorCause, ErrorResponse, Retry};
+use petrelshore_gateway_core::error_response::ErrorResponse;
 use petrelshore_ingress::error::CallError;
 use std::fmt;
 use tonic::Status;
@@ -21,7 +21,7 @@
 impl RpcError {
     /// The error of a call that was aborted after it may have run.
     pub fn aborted(reason: FailureReason) -> Self {
-        ErrorResponse { cause: ErrorCause::Aborted(reason), retry: Retry::Never }.into()
+        ErrorResponse::aborted(reason).into()
     }
 
     /// The error of a final answer that is a rejection or an abort.
