Keep an older endpoint list from undoing what newer lists told

What callers saw: after a new configuration named a discovery address whose list was two seconds behind, new work went to a server whose drain had been told, up to 2.7 s after the notice, and was cut off as that server ended. Cause: update_endpoints applied every whole list; neither the platform gateway nor the request table kept a version. Change: EndpointHistory (gateway-core) remembers each server's last entry with its version; reconcile corrects the entries that deny it before any list is applied: whole lists, changes, the known list, after reload, reconnect and restart. A lower version can't make a drained or removed server ready or a restarted one warm, for a minute; drains, later starts and new servers count in any list, since an agent's numbering may start anew.

--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -206,6 +206,46 @@
     );
 }
 
+/// Guards against a list of an older version, as a new discovery address may serve it, that undoes a drain: the drained
+/// server got new work.
+#[test]
+fn older_list_at_a_new_address_undoes_no_drain() {
+    let testbed = PlatformTestbed::start("older-list");
+    let other = ModelServer::start(false, ServerBehavior::Good).unwrap();
+    let list = |state| {
+        let entries = [
+            entry("r", testbed.prefill.address, "reader", "active"),
+            entry("w", testbed.decode.address, "writer", state),
+            entry("v", other.address, "writer", "active"),
+        ];
+        entries.join(",")
+    };
+    let mut id = 0;
+    let mut send = || {
+        id += 1;
+        let response = testbed.send_and_read(request_text(id, "Connection: close\r\n").as_bytes());
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    };
+    testbed.agent.set(&list("leaving"));
+    let deadline = Instant::now() + EVENT_TIMEOUT;
+    while other.requests().is_empty() {
+        assert!(Instant::now() < deadline, "the drain is not applied");
+        send();
+    }
+    let requests_before = testbed.decode.requests().len();
+    // The new agent's list has version 1, and the drain was told with version 2.
+    let new_agent = DiscoveryAgent::start(&list("active")).unwrap();
+    let text = std::fs::read_to_string(&testbed.file).unwrap();
+    let (old, new) = (testbed.agent.address.to_string(), new_agent.address.to_string());
+    std::fs::write(&testbed.file, text.replace(&old, &new)).unwrap();
+    testbed.signal("-HUP");
+    testbed.wait_for("the gateway watches the new list", || new_agent.polls() > 1);
+    for _ in 0..20 {
+        send();
+    }
+    assert_eq!(testbed.decode.requests().len(), requests_before, "a drained server got new work");
+}
+
 #[test]
 fn incomplete_configuration_is_reread_until_complete() {
     for half in [true, false] {
--- a/emulator/src/platform/discovery_agent.rs
+++ b/emulator/src/platform/discovery_agent.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -28,6 +29,7 @@
     list: Arc<Mutex<EndpointList>>,
     /// The client ports of the connections that have polled.
     polled_by: Arc<Mutex<BTreeSet<u16>>>,
+    polls: Arc<AtomicUsize>,
     silent: Arc<Mutex<bool>>,
 }
 
@@ -39,6 +41,7 @@
             address: listener.local_addr()?,
             list: Arc::new(Mutex::new(EndpointList { version: 1, entries: entries.to_owned() })),
             polled_by: Arc::default(),
+            polls: Arc::default(),
             silent: Arc::default(),
         };
         let handle = agent.clone();
@@ -68,11 +71,17 @@
         self.polled_by.lock().unwrap().len()
     }
 
+    /// The number of polls that have arrived.
+    pub fn polls(&self) -> usize {
+        self.polls.load(Ordering::Relaxed)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let (Ok(mut writer), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else { return };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             self.polled_by.lock().unwrap().insert(peer.port());
+            self.polls.fetch_add(1, Ordering::Relaxed);
             self.wait_for_change(&request.line);
             if *self.silent.lock().unwrap() {
                 let _ = hang();
--- a/gateway-core/src/lib.rs
+++ b/gateway-core/src/lib.rs
@@ -15,6 +15,7 @@
 //!   [`token_estimate`] estimates the lengths of prompts.
 //! - Connections: [`connection_pool`] manages connections to model servers and [`client_connections`] connections from
 //!   clients. [`flow_control`] and [`http2_abuse`] serve connections that carry many streams.
+//! - [`endpoint_history`] keeps an older endpoint list from undoing what newer lists have told.
 //! - [`graceful_shutdown`] plans the time from the stop signal to the exit, and [`error_response`] defines the errors
 //!   that clients receive.
 //! - [`event_budget`] limits how many individual events are logged.
@@ -28,6 +29,7 @@
 pub mod capacity;
 pub mod client_connections;
 pub mod connection_pool;
+pub mod endpoint_history;
 pub mod error_response;
 pub mod event_budget;
 pub mod fingerprint;
--- a/platform-gateway/src/gateway.rs
+++ b/platform-gateway/src/gateway.rs
@@ -55,6 +55,7 @@
             client,
             names: config.names,
             known_servers: RefCell::default(),
+            endpoint_history: RefCell::default(),
             event_budget: RefCell::default(),
             entries: RefCell::default(),
             request_or_release_finished: Event::new(),
--- a/platform-gateway/src/state.rs
+++ b/platform-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use event_listener::Event;
 use petrelshore::interface::{Nanos, SequenceId};
+use petrelshore_gateway_core::endpoint_history::EndpointHistory;
 use petrelshore_gateway_core::event_budget::EventBudget;
 use petrelshore_gateway_core::passthrough::{FinalAnswer, PassthroughRequests};
 use petrelshore_platform_engine_client::Client;
@@ -46,6 +47,8 @@
     pub(crate) names: Names,
     /// The names of the listed servers, for the log. Updated with the endpoint list; read wherever a server is logged.
     pub(crate) known_servers: RefCell<KnownServers>,
+    /// Corrects endpoint lists that are older than lists that were applied before.
+    pub(crate) endpoint_history: RefCell<EndpointHistory>,
     pub(crate) event_budget: RefCell<EventBudget>,
     /// The requests in flight. The ingress tasks add entries on acceptance; the task that executes a command changes or
     /// removes them.
