Let only its own request free or complete a key in flight

Cause: the idempotency store knew of a key in flight, but not for which request. remove_if_finished of an earlier request with the same key (past its window, or rejected) removed the later request's key; the next repeat was then new, and the later request's answer was not stored. Change: a key in flight has its request's id (KeyedRequest); remove and complete change nothing for another request's.

--- a/gateway-core/src/idempotency.rs
+++ b/gateway-core/src/idempotency.rs
@@ -5,8 +5,12 @@
 //! completed or aborted, a repeated request within the window gets the same answer. An abort is repeated as an abort,
 //! since the gateway does not know what ran. After a rejection nothing has run, so a repeated request is a new request.
 //! A different request with the same key is an error of the client.
+//!
+//! A key can be in flight for a later request while an earlier one with the same key still has its answer read: after a
+//! rejection, or once the window is over. So each change of a key names its request, and changes nothing if the key is in
+//! flight for another one.
 
-use petrelshore::interface::Nanos;
+use petrelshore::interface::{Nanos, SequenceId};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -28,6 +32,15 @@
     pub key: String,
 }
 
+/// A request with an idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRequest {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The request, which no other request has the id of.
+    pub id: SequenceId,
+}
+
 /// The result of a request with a key. `E` is the type of the gateway's final answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CompletedRequest<E> {
@@ -64,14 +77,14 @@
 }
 
 enum Entry<E> {
-    InFlight { fingerprint: u64 },
+    InFlight { fingerprint: u64, id: SequenceId },
     Completed(CompletedEntry<E>),
 }
 
 impl<E> Entry<E> {
     fn fingerprint(&self) -> u64 {
         match self {
-            Entry::InFlight { fingerprint } => *fingerprint,
+            Entry::InFlight { fingerprint, .. } => *fingerprint,
             Entry::Completed(completed) => completed.fingerprint,
         }
     }
@@ -93,11 +106,12 @@
 
 impl<E: Clone> IdempotencyStore<E> {
     /// Looks up the key of a new request, and registers an unknown key. `fingerprint` identifies the request's content.
-    pub fn begin(&mut self, now: Nanos, key: &IdempotencyKey, fingerprint: u64) -> KeyStatus<E> {
+    pub fn begin(&mut self, now: Nanos, request: &KeyedRequest, fingerprint: u64) -> KeyStatus<E> {
         self.drop_expired(now);
-        match self.entries.get(key) {
+        match self.entries.get(&request.key) {
             None => {
-                self.entries.insert(key.clone(), Entry::InFlight { fingerprint });
+                let entry = Entry::InFlight { fingerprint, id: request.id };
+                self.entries.insert(request.key.clone(), entry);
                 KeyStatus::New
             }
             Some(entry) if entry.fingerprint() != fingerprint => KeyStatus::DifferentRequest,
@@ -107,23 +121,31 @@
     }
 
     /// Removes the key of a request that was never admitted or ended without having run, so the key can be used again.
-    pub fn remove(&mut self, key: &IdempotencyKey) {
-        if matches!(self.entries.get(key), Some(Entry::InFlight { .. })) {
-            self.entries.remove(key);
+    pub fn remove(&mut self, request: &KeyedRequest) {
+        if self.fingerprint_in_flight(request).is_some() {
+            self.entries.remove(&request.key);
+        }
+    }
+
+    /// The fingerprint of a request, if its key is in flight for this request.
+    fn fingerprint_in_flight(&self, request: &KeyedRequest) -> Option<u64> {
+        match self.entries.get(&request.key) {
+            Some(Entry::InFlight { fingerprint, id }) if *id == request.id => Some(*fingerprint),
+            _ => None,
         }
     }
 
     /// Records that a request in flight has ended and may have run. Its answer is stored for `window` nanoseconds.
-    pub fn complete(&mut self, now: Nanos, key: &IdempotencyKey, text: &str, end: E, window: Nanos) {
-        let Some(Entry::InFlight { fingerprint }) = self.entries.get(key) else { return };
-        let fingerprint = *fingerprint;
-        let (text_bytes, request) = if text.len() <= MAX_TEXT_BYTES_PER_KEY {
+    pub fn complete(&mut self, now: Nanos, request: &KeyedRequest, text: &str, end: E, window: Nanos) {
+        let Some(fingerprint) = self.fingerprint_in_flight(request) else { return };
+        let key = &request.key;
+        let (text_bytes, stored) = if text.len() <= MAX_TEXT_BYTES_PER_KEY {
             (text.len(), CompletedRequest::Answered { text: Rc::from(text), end })
         } else {
             (0, CompletedRequest::AnswerNotStored)
         };
         let expires_at = now.saturating_add(window);
-        let entry = CompletedEntry { fingerprint, expires_at, text_bytes, request };
+        let entry = CompletedEntry { fingerprint, expires_at, text_bytes, request: stored };
         self.text_bytes += text_bytes;
         self.entries.insert(key.clone(), Entry::Completed(entry));
         self.completed.push_back((expires_at, key.clone()));
--- a/gateway-core/src/request_table/buffered/actions.rs
+++ b/gateway-core/src/request_table/buffered/actions.rs
@@ -1,7 +1,7 @@
 //! Application of the request manager's actions by the buffered request table.
 
 use super::command::{Command, OutgoingAttempt};
-use super::entry::{RequestEntry, idempotency_key};
+use super::entry::{RequestEntry, keyed_request};
 use super::message::FinalAnswer;
 use super::{BufferedRequests, request_id};
 use crate::cache_releases::{CacheRelease, CacheState};
@@ -71,15 +71,15 @@
             }
             final_answer::FinalAnswer::Aborted { reason } => FinalAnswer::Aborted { reason },
         };
-        if let (Some(key), Some(text)) = (idempotency_key(&entry.request), &entry.text) {
+        if let (Some(keyed), Some(text)) = (keyed_request(id, &entry.request), &entry.text) {
             match &last {
-                FinalAnswer::Rejected { .. } => self.idempotency_store.remove(&key),
+                FinalAnswer::Rejected { .. } => self.idempotency_store.remove(&keyed),
                 FinalAnswer::Completed { .. } | FinalAnswer::Aborted { .. } => {
                     let window = match self.idempotency_by_type[entry.request.traffic.0] {
                         Idempotency::Keyed { window, .. } => window,
                         Idempotency::Idempotent | Idempotency::AtMostOnce => idempotency::DEFAULT_WINDOW,
                     };
-                    self.idempotency_store.complete(now, &key, text, last.clone(), window);
+                    self.idempotency_store.complete(now, &keyed, text, last.clone(), window);
                 }
             }
         }
@@ -96,14 +96,14 @@
             return;
         }
         let Some(removed) = self.store.remove(now, id) else { return };
-        if let Some(key) = idempotency_key(&removed.details.request) {
+        if let Some(keyed) = keyed_request(id, &removed.details.request) {
             // The client left before the final answer. Work that may have run must not run again for a repeat with the
             // same key.
             if removed.details.may_have_run && !removed.answered {
                 let aborted = FinalAnswer::Aborted { reason: FailureReason::AlreadyRan };
-                self.idempotency_store.complete(now, &key, "", aborted, idempotency::DEFAULT_WINDOW);
+                self.idempotency_store.complete(now, &keyed, "", aborted, idempotency::DEFAULT_WINDOW);
             }
-            self.idempotency_store.remove(&key);
+            self.idempotency_store.remove(&keyed);
         }
     }
 }
--- a/gateway-core/src/request_table/buffered/admission.rs
+++ b/gateway-core/src/request_table/buffered/admission.rs
@@ -2,12 +2,12 @@
 
 use super::BufferedRequests;
 use super::command::Command;
-use super::entry::{RequestEntry, client_id, idempotency_key};
+use super::entry::{RequestEntry, client_id, keyed_request};
 use super::message::{Admission, FinalAnswer, Rejection, Request};
 use crate::cancellation_limits::TooManyCancelled;
 use crate::capacity::CapacityError;
 use crate::fingerprint::request_fingerprint;
-use crate::idempotency::{CompletedRequest, IdempotencyKey, KeyStatus};
+use crate::idempotency::{CompletedRequest, KeyStatus, KeyedRequest};
 use crate::request_manager::{FailureReason, NewSequence, Relay};
 use crate::request_table::action_handler::ActionHandler;
 use crate::timeouts;
@@ -22,22 +22,22 @@
             return Admission::Rejected(rejection);
         }
         let id = self.allocate_id();
-        let key = idempotency_key(&request);
-        if let Some(key) = &key
-            && let Some(admission) = self.begin_idempotent_request(now, id, key, &request)
+        let keyed = keyed_request(id, &request);
+        if let Some(keyed) = &keyed
+            && let Some(admission) = self.begin_idempotent_request(now, keyed, &request)
         {
             return admission;
         }
         if let Err(error) = self.store.acquire_capacity(now, request.client, request.traffic) {
-            if let Some(key) = &key {
-                self.idempotency_store.remove(key);
+            if let Some(keyed) = &keyed {
+                self.idempotency_store.remove(keyed);
             }
             return Admission::Rejected(self.capacity_rejection(now, error));
         }
         let idempotent = self.idempotency_by_type[request.traffic.0] == Idempotency::Idempotent;
         let resumable = idempotent && request.relay == Relay::Streamed;
         let new = new_sequence(id, &request);
-        self.store.insert(id, request.client, RequestEntry::new(request, key.is_some() || resumable));
+        self.store.insert(id, request.client, RequestEntry::new(request, keyed.is_some() || resumable));
         self.apply(now, commands, |manager, actions| manager.accept(now, new, actions));
         Admission::Accepted(id)
     }
@@ -67,12 +67,12 @@
     fn begin_idempotent_request(
         &mut self,
         now: Nanos,
-        id: SequenceId,
-        key: &IdempotencyKey,
+        keyed: &KeyedRequest,
         request: &Request,
     ) -> Option<Admission> {
+        let id = keyed.id;
         let fingerprint = request_fingerprint(&request.model, &request.prompt, request.max_tokens);
-        match self.idempotency_store.begin(now, key, fingerprint) {
+        match self.idempotency_store.begin(now, keyed, fingerprint) {
             KeyStatus::New => None,
             KeyStatus::InFlight => Some(Admission::Rejected(Rejection::KeyInFlight {
                 retry_after: timeouts::DEFAULT_RETRY_AFTER,
--- a/gateway-core/src/request_table/buffered/entry.rs
+++ b/gateway-core/src/request_table/buffered/entry.rs
@@ -3,8 +3,8 @@
 use super::message::{FinalAnswer, OutputStart, Piece, Request, Usage};
 use crate::cache_releases::CacheRelease;
 use crate::cancellation_limits::ClientId;
-use crate::idempotency::IdempotencyKey;
-use petrelshore::interface::{ServerId, TenantId};
+use crate::idempotency::{IdempotencyKey, KeyedRequest};
+use petrelshore::interface::{SequenceId, ServerId, TenantId};
 
 /// The finish reason of an answer for which the decode server sent none.
 const DEFAULT_FINISH_REASON: &str = "stop";
@@ -123,10 +123,10 @@
     ClientId { address: request.client, tenant: request.tenant }
 }
 
-/// The key of a request in the idempotency store, if the client sent an idempotency key.
-pub(super) fn idempotency_key(request: &Request) -> Option<IdempotencyKey> {
+/// A request as the idempotency store knows it, if the client sent an idempotency key.
+pub(super) fn keyed_request(id: SequenceId, request: &Request) -> Option<KeyedRequest> {
     let key = request.idempotency_key.as_ref()?;
     // The store does not outlive the gateway process, within which a tenant's number is as unique as its name.
     let tenant = request.tenant.map_or(String::new(), |TenantId(tenant)| tenant.to_string());
-    Some(IdempotencyKey { tenant, key: key.to_string() })
+    Some(KeyedRequest { key: IdempotencyKey { tenant, key: key.to_string() }, id })
 }
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -12,6 +12,7 @@
     Request, Usage, request_id,
 };
 use petrelshore_gateway_core::cache_releases::ReleaseOutcome;
+use petrelshore_gateway_core::idempotency::DEFAULT_WINDOW;
 use petrelshore_gateway_core::token_estimate::{Message, estimate_prompt};
 use petrelshore_gateway_core::{CancelReason, FailureReason, PolicyKind, Relay};
 use std::rc::Rc;
@@ -268,6 +269,28 @@
     assert_eq!((requests.counts().completed, requests.counts().cancelled), (2, 0));
 }
 
+/// Guards against a request whose client has read its answer late, and which then frees its key although a later request
+/// has it in flight: the next repeat ran beside that one.
+#[test]
+fn late_end_of_a_request_leaves_its_key_to_the_next_one() {
+    let mut requests = requests(10);
+    let (first, decode) = accept_and_prefill(&mut requests, request(1, Some("k")));
+    complete(&mut requests, first, &decode, "a ");
+    let mut commands = Vec::new();
+    let now = 3 * MS + DEFAULT_WINDOW;
+    let repeat = || Request { arrived_at: now, ..request(1, Some("k")) };
+    let Admission::Accepted(second) = requests.accept(now, repeat(), &mut commands) else {
+        panic!("the window is over")
+    };
+    for id in [first, second] {
+        let in_flight = requests.accept(now, repeat(), &mut commands);
+        assert!(matches!(in_flight, Admission::Rejected(Rejection::KeyInFlight { .. })), "{in_flight:?}");
+        requests.answer_consumed(now, id);
+    }
+    let attempts = commands.iter().filter(|command| matches!(command, Command::Send(_))).count();
+    assert_eq!(attempts, 1, "{commands:?}");
+}
+
 #[test]
 fn rejected_request_leaves_no_entry() {
     let mut requests = requests(1);
--- a/gateway-core/tests/idempotency.rs
+++ b/gateway-core/tests/idempotency.rs
@@ -1,11 +1,31 @@
 //! Replayed answers of completed requests, by idempotency key.
 
-use petrelshore_gateway_core::idempotency::{CompletedRequest, IdempotencyKey, IdempotencyStore, KeyStatus};
+use petrelshore::interface::SequenceId;
+use petrelshore_gateway_core::idempotency::{
+    CompletedRequest, IdempotencyKey, IdempotencyStore, KeyStatus, KeyedRequest,
+};
 
 const SECOND: u64 = 1_000_000_000;
 
-fn key_of(tenant: &str, key: &str) -> IdempotencyKey {
-    IdempotencyKey { tenant: tenant.to_owned(), key: key.to_owned() }
+fn key_of(tenant: &str, key: &str) -> KeyedRequest {
+    let key = IdempotencyKey { tenant: tenant.to_owned(), key: key.to_owned() };
+    KeyedRequest { key, id: SequenceId(1) }
+}
+
+/// Guards against an earlier request that frees or completes a key which is in flight for a later one.
+#[test]
+fn key_in_flight_changes_for_its_own_request_alone() {
+    let first = key_of("tenant-a", "k");
+    let second = KeyedRequest { id: SequenceId(2), ..first.clone() };
+    let mut store: IdempotencyStore<&str> = IdempotencyStore::default();
+    assert_eq!(store.begin(0, &first, 1), KeyStatus::New);
+    store.remove(&first);
+    assert_eq!(store.begin(0, &second, 1), KeyStatus::New);
+    store.remove(&first);
+    store.complete(0, &first, "text", "generated", SECOND);
+    assert_eq!(store.begin(0, &first, 1), KeyStatus::InFlight);
+    store.remove(&second);
+    assert_eq!(store.begin(0, &first, 1), KeyStatus::New);
 }
 
 #[test]
