Keep the key of a cancelled request for its traffic type's window

Cause: remove_if_finished kept the key of a request whose client had left for DEFAULT_WINDOW (60 s) instead of the type's window, as answer() does. Change: key_window gives the window for both.

--- a/gateway-core/src/request_table/buffered/actions.rs
+++ b/gateway-core/src/request_table/buffered/actions.rs
@@ -75,10 +75,7 @@
             match &last {
                 FinalAnswer::Rejected { .. } => self.idempotency_store.remove(&keyed),
                 FinalAnswer::Completed { .. } | FinalAnswer::Aborted { .. } => {
-                    let window = match self.idempotency_by_type[entry.request.traffic.0] {
-                        Idempotency::Keyed { window, .. } => window,
-                        Idempotency::Idempotent | Idempotency::AtMostOnce => idempotency::DEFAULT_WINDOW,
-                    };
+                    let window = key_window(self.idempotency_by_type[entry.request.traffic.0]);
                     self.idempotency_store.complete(now, &keyed, text, last.clone(), window);
                 }
             }
@@ -101,13 +98,22 @@
             // same key.
             if removed.details.may_have_run && !removed.answered {
                 let aborted = FinalAnswer::Aborted { reason: FailureReason::AlreadyRan };
-                self.idempotency_store.complete(now, &keyed, "", aborted, idempotency::DEFAULT_WINDOW);
+                let window = key_window(self.idempotency_by_type[removed.details.request.traffic.0]);
+                self.idempotency_store.complete(now, &keyed, "", aborted, window);
             }
             self.idempotency_store.remove(&keyed);
         }
     }
 }
 
+/// The time for which the key of a completed request is kept, in nanoseconds.
+fn key_window(idempotency: Idempotency) -> Nanos {
+    match idempotency {
+        Idempotency::Keyed { window, .. } => window,
+        Idempotency::Idempotent | Idempotency::AtMostOnce => idempotency::DEFAULT_WINDOW,
+    }
+}
+
 fn outgoing_attempt<P: Clone>(
     entry: &RequestEntry<P>,
     idempotency: Idempotency,
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -2,9 +2,9 @@
 //! and capacity.
 
 use petrelshore::interface::{
-    CellId, Delivery, Deployment, Discovery, Endpoint, EndpointState, Idempotency, Nanos, Role, SequenceId,
-    ServerId, ServerKind, ServerKindId, SnapshotKind, StartTimeClock, Step, TrafficType, TrafficTypeId,
-    Weights, ZoneId,
+    CellId, Delivery, Deployment, Discovery, Endpoint, EndpointState, Idempotency, KeyScope, Nanos, Role,
+    SequenceId, ServerId, ServerKind, ServerKindId, SnapshotKind, StartTimeClock, Step, TrafficType,
+    TrafficTypeId, Weights, ZoneId,
 };
 use petrelshore_gateway_core::attempt_outcome::AttemptEnd;
 use petrelshore_gateway_core::buffered::{
@@ -18,6 +18,8 @@
 use std::rc::Rc;
 
 const MS: Nanos = 1_000_000;
+/// The window of the keyed traffic type, which is longer than the default window.
+const KEY_WINDOW: Nanos = 90_000 * MS;
 
 fn requests(max_requests: usize) -> BufferedRequests<u8> {
     let traffic = TrafficType {
@@ -29,10 +31,12 @@
         delivery: Delivery::Streamed,
     };
     let at_most_once = TrafficType { idempotency: Idempotency::AtMostOnce, ..traffic.clone() };
+    let keyed = Idempotency::Keyed { scope: KeyScope::Cell, window: KEY_WINDOW };
+    let keyed = TrafficType { idempotency: keyed, ..traffic.clone() };
     let deployment = Deployment {
         gateways: 1,
         zone: ZoneId(0),
-        types: vec![traffic, at_most_once],
+        types: vec![traffic, at_most_once, keyed],
         kinds: [Role::Prefill, Role::Decode].map(|role| ServerKind { role, memory_tokens: 10_000.0 }).into(),
         tenants: vec![],
         over_quota_factor: 0.1,
@@ -269,6 +273,22 @@
     assert_eq!((requests.counts().completed, requests.counts().cancelled), (2, 0));
 }
 
+/// Guards against a key that is forgotten before its traffic type's window is over, because its client left: the work,
+/// which may have run, ran again for the next repeat.
+#[test]
+fn key_of_a_cancelled_request_is_kept_for_its_window() {
+    let mut requests = requests(10);
+    let (id, decode) = accept_and_prefill(&mut requests, request(2, Some("k")));
+    let mut commands = Vec::new();
+    requests.client_cancelled(2 * MS, id, &mut commands);
+    requests.attempt_cancelled(2 * MS, id, decode.dispatch.attempt, &mut commands);
+    for (now, is_kept) in [(KEY_WINDOW, true), (KEY_WINDOW + 2 * MS, false)] {
+        let repeat = Request { arrived_at: now, ..request(2, Some("k")) };
+        let admission = requests.accept(now, repeat, &mut commands);
+        assert_eq!(matches!(admission, Admission::Replayed { .. }), is_kept, "{admission:?}");
+    }
+}
+
 /// Guards against a request whose client has read its answer late, and which then frees its key although a later request
 /// has it in flight: the next repeat ran beside that one.
 #[test]
