Keep the lease of a read that was cut off beside a later one's

Cause: on the platform all attempts of a request have one id, and CacheLeases kept one lease for each server: the completed prefill's lease replaced the uncertain one, and the decode server's fetch then removed it. Change: a held lease leaves an uncertain one at its server. That isn't released while a decode server is to fetch there (a release request would let go of both), but with the first event, until the read can't come any more.

--- a/gateway-core/src/cache_leases.rs
+++ b/gateway-core/src/cache_leases.rs
@@ -3,6 +3,9 @@
 //!
 //! A prefill may complete just as the gateway cancels it, and its server then holds a KV cache. So every ended prefill
 //! counts as one that left a KV cache, unless its end proves that it never ran.
+//!
+//! A prefill that was cut off may complete later, even after a second prefill at the same server whose KV cache a decode
+//! server has fetched. So one server can have a lease of each state.
 
 use crate::attempt_outcome::AttemptEnd;
 use crate::cache_releases::CacheState;
@@ -15,14 +18,18 @@
 }
 
 impl CacheLeases {
-    /// Records how a prefill ended.
+    /// Records how a prefill ended. A KV cache that is held replaces one that was held before, but not the lease of a
+    /// prefill that was cut off.
     pub fn prefill_ended(&mut self, server: ServerId, end: AttemptEnd) {
         let state = match end {
             AttemptEnd::PrefillDone { .. } => CacheState::Held,
             _ if end.proves_not_run() => return,
             _ => CacheState::Uncertain,
         };
-        self.leases.retain(|(holder, _)| *holder != server);
+        self.leases.retain(|(holder, known)| {
+            let is_other_prefill = state == CacheState::Held && *known == CacheState::Uncertain;
+            *holder != server || is_other_prefill
+        });
         self.leases.push((server, state));
     }
 
@@ -40,17 +47,28 @@
     }
 
     /// Removes and returns the leases that cancelled prefills may have left. The caller releases them while no attempt
-    /// is in flight.
+    /// is in flight. A lease at a server that also holds a KV cache for the next attempt stays, because a release request
+    /// would release both.
     pub fn take_uncertain(&mut self) -> Vec<(ServerId, CacheState)> {
-        let uncertain =
-            self.leases.iter().copied().filter(|(_, state)| *state == CacheState::Uncertain).collect();
-        self.leases.retain(|(_, state)| *state == CacheState::Held);
+        let holders = self.servers(CacheState::Held);
+        let (uncertain, remaining) = std::mem::take(&mut self.leases)
+            .into_iter()
+            .partition(|(server, state)| *state == CacheState::Uncertain && !holders.contains(server));
+        self.leases = remaining;
         uncertain
     }
 
-    /// Removes and returns all leases.
+    /// Removes and returns all leases, one for each server.
     pub fn take_all(&mut self) -> Vec<(ServerId, CacheState)> {
-        std::mem::take(&mut self.leases)
+        let uncertain = self.servers(CacheState::Uncertain);
+        let mut leases = std::mem::take(&mut self.leases);
+        leases.retain(|(server, state)| *state == CacheState::Uncertain || !uncertain.contains(server));
+        leases
+    }
+
+    /// The servers with a lease of this state.
+    fn servers(&self, state: CacheState) -> Vec<ServerId> {
+        self.leases.iter().filter(|(_, known)| *known == state).map(|(server, _)| *server).collect()
     }
 }
 
--- a/gateway-core/tests/passthrough/releases.rs
+++ b/gateway-core/tests/passthrough/releases.rs
@@ -44,6 +44,31 @@
     assert_eq!(requests.tracked(), 0);
 }
 
+/// Guards against the KV cache of a prefill that was cut off and completes after a second one at the same server: it was
+/// never released.
+#[test]
+fn prefill_cut_off_at_the_same_server_is_released_with_the_first_event() {
+    let (mut requests, mut commands, id) = (requests(9), Vec::new(), SequenceId(5));
+    let cut_off = accept_prefill(&mut requests, id);
+    requests.attempt_ended(START + MS, &cut_off, AttemptEnd::Reset, &mut commands);
+    let mut prefill = sent_dispatch(&commands);
+    if prefill.server != cut_off.server {
+        commands.clear();
+        requests.attempt_ended(START + 2 * MS, &prefill, AttemptEnd::NotConnected, &mut commands);
+        prefill = sent_dispatch(&commands);
+    }
+    assert_eq!((prefill.step, prefill.server), (Step::Prefill, cut_off.server));
+    commands.clear();
+    let done = AttemptEnd::PrefillDone { cached_tokens: 0.0 };
+    requests.attempt_ended(START + 3 * MS, &prefill, done, &mut commands);
+    let decode = sent_dispatch(&commands);
+    assert_eq!(releases(&commands), [], "a release request now might hit the second KV cache");
+    commands.clear();
+    requests.first_token(START + 4 * MS, &decode, &mut commands);
+    let released_by: Vec<ServerId> = releases(&commands).iter().map(|release| release.server).collect();
+    assert_eq!(released_by, [cut_off.server]);
+}
+
 #[test]
 fn failed_connections_do_not_extend_the_release_deadline() {
     let (mut requests, mut commands, id) = (with_decode_servers(), Vec::new(), SequenceId(5));
