Complete an answer whose stream breaks after its finish reason

A stream that broke or fell silent between its finish reason and its end marker was resumed: the next attempt was asked to go on after the end, so the client got text that no model server made for it. Types that may not run again were aborted with their whole text. Cause: the request manager did not know that the finish reason had arrived. Change: the buffered table tells it (finish_received); such a stream completes its sequence, whatever its end. Token counts that did not come are estimated: the prompt's estimate, and one token for each text. Measured result: stream_that_breaks_after_its_finish_reason_is_complete (streamed, in one piece, at most once; reset and silent) sent a second attempt without the change and passes with it; gateway-core passes. No run on sockets: the emulated servers send the finish reason and the end marker together.

--- a/gateway-core/src/request_manager/attempts.rs
+++ b/gateway-core/src/request_manager/attempts.rs
@@ -38,9 +38,18 @@
         self.policy.first_token(now, &mut tracked.sequence, attempt);
         tracked.last_activity_at = now;
         tracked.tokens_received += 1;
+        tracked.finish_received = false;
         self.reset_stream_timer(now, id);
     }
 
+    /// Records that the finish reason of a sequence's running stream arrived. The sequence completes even if the stream
+    /// then breaks or falls silent.
+    pub fn finish_received(&mut self, id: SequenceId) {
+        if let Some(tracked) = self.sequences.get_mut(&id) {
+            tracked.finish_received = true;
+        }
+    }
+
     /// Handles the end of an attempt, as its connection showed it. If the stream broke after the client had received
     /// part of it, the sequence continues only if the stream can be resumed.
     pub fn attempt_ended(
@@ -56,11 +65,12 @@
             return;
         };
         let relay = tracked.relay;
+        let streaming = status == AttemptStatus::Streaming;
+        let has_whole_text = tracked.has_whole_text() && end != AttemptEnd::Cancelled;
         if end.server_answered() {
             self.attempt_delivered(id, attempt);
         }
-        let streaming = status == AttemptStatus::Streaming;
-        let outcome = end.outcome(streaming);
+        let outcome = if has_whole_text { Outcome::Completed } else { end.outcome(streaming) };
         let completed = outcome == Outcome::Completed;
         let broken = streaming && !completed && relay != Relay::Buffered;
         let finality = Finality::final_if(completed || (broken && !self.try_resume(now, id)));
--- a/gateway-core/src/request_manager/expiry.rs
+++ b/gateway-core/src/request_manager/expiry.rs
@@ -6,7 +6,7 @@
 use super::new_sequence::Relay;
 use super::tracked_sequence::TrackedSequence;
 use crate::attempt_outcome::AttemptEnd;
-use petrelshore::interface::{Attempt, AttemptStatus, Nanos, SequenceId};
+use petrelshore::interface::{Attempt, AttemptStatus, Nanos, Outcome, SequenceId};
 
 impl RequestManager {
     /// Returns the time at which [`RequestManager::on_timeout`] next has a timer to handle.
@@ -50,7 +50,8 @@
         }
     }
 
-    /// Cancels an attempt that timed out and reports its end to the policy.
+    /// Cancels an attempt that timed out and reports its end to the policy. A stream of which only the end marker is missing
+    /// completes its sequence.
     fn attempt_timed_out(
         &mut self,
         now: Nanos,
@@ -69,6 +70,11 @@
             None => (CancelReason::TimedOut, AttemptEnd::TimedOut),
         };
         actions.push(Action::Cancel { id, attempt, server, step, reason: cancel_reason });
+        if tracked.has_whole_text() {
+            let (outcome, finality) = (Outcome::Completed, Finality::Final);
+            let finished = FinishedAttempt { id, attempt, outcome, finality, reason: None };
+            return self.finish_attempt(now, finished, actions);
+        }
         let client_has_tokens = tracked.relay != Relay::Buffered;
         let unresumable = now >= tracked.completion_deadline || reason == FailureReason::ClientStalled;
         let ends_sequence = streaming && (unresumable || (client_has_tokens && !self.try_resume(now, id)));
--- a/gateway-core/src/request_manager/tracked_sequence.rs
+++ b/gateway-core/src/request_manager/tracked_sequence.rs
@@ -25,6 +25,8 @@
     pub(super) stalled_since: Option<Nanos>,
     /// Number of tokens received, over all attempts.
     pub(super) tokens_received: u32,
+    /// Set once the finish reason of the running stream has arrived: no text of the answer is missing.
+    pub(super) finish_received: bool,
     /// Number of times that the stream was resumed after a break.
     pub(super) resumptions: usize,
     /// Number of tokens that had been received when the stream was last resumed.
@@ -41,6 +43,7 @@
             last_activity_at: now,
             stalled_since: None,
             tokens_received: 0,
+            finish_received: false,
             resumptions: 0,
             tokens_resumed_after: 0,
             sequence: Sequence {
@@ -80,6 +83,12 @@
         self.sequence.attempts.last().is_some_and(|attempt| attempt.status == AttemptStatus::Streaming)
     }
 
+    /// Returns whether the last attempt is streaming and has sent the whole text of the answer. Its stream may still break
+    /// before the token counts and the end marker, but another attempt would generate text past the end.
+    pub(super) fn has_whole_text(&self) -> bool {
+        self.is_streaming() && self.finish_received
+    }
+
     /// Returns the time at which the running stream times out unless it makes progress.
     pub(super) fn stream_deadline(&self, traffic_type: &TrafficType) -> Nanos {
         let idle_deadline = match self.stalled_since {
--- a/gateway-core/src/request_table/buffered.rs
+++ b/gateway-core/src/request_table/buffered.rs
@@ -112,7 +112,13 @@
     /// Records a piece of an answer. Returns the text of a text piece for the API, `Some(None)` for any other piece, or
     /// `None` if the request is unknown or already has its final answer.
     pub fn receive_piece(&mut self, id: SequenceId, piece: Piece) -> Option<Option<String>> {
-        self.store.get_unanswered_mut(id).map(|entry| entry.record(piece))
+        let entry = self.store.get_unanswered_mut(id)?;
+        let is_finish = matches!(piece, Piece::Finish(_));
+        let text = entry.record(piece);
+        if is_finish {
+            self.store.manager.finish_received(id);
+        }
+        Some(text)
     }
 
     /// Records that the client stopped reading its stream.
--- a/gateway-core/src/request_table/buffered/entry.rs
+++ b/gateway-core/src/request_table/buffered/entry.rs
@@ -23,12 +23,13 @@
     /// KV caches that prefill servers hold for the request.
     pub(super) caches: Vec<PrefilledCache<P>>,
     finish_reason: Option<String>,
-    usage: Usage,
+    /// The token counts, once the decode server has sent them.
+    usage: Option<Usage>,
     /// The text received so far, collected only if a repeat of the request may ask for the answer or the stream may be
     /// resumed.
     pub(super) text: Option<String>,
-    /// Set once text of the current course of the answer was received, whether or not it is collected.
-    text_received: bool,
+    /// Number of texts received from the latest attempt that decodes, whether or not they are collected.
+    texts_received: u64,
     /// Number of tokens that earlier attempts had delivered when the latest attempt was sent.
     pub(super) tokens_delivered: u32,
     /// Set once an attempt that decodes was sent: part of the request may have taken effect.
@@ -43,11 +44,11 @@
     pub(super) fn new(request: Request, collects_text: bool) -> Self {
         RequestEntry {
             text: collects_text.then(String::new),
-            text_received: false,
+            texts_received: 0,
             request,
             caches: Vec::new(),
             finish_reason: None,
-            usage: Usage::default(),
+            usage: None,
             tokens_delivered: 0,
             may_have_run: false,
             first_token_received: false,
@@ -77,11 +78,11 @@
     /// void.
     pub(super) fn begin_output(&mut self, tokens_delivered: u32) -> OutputStart {
         self.finish_reason = None;
-        self.usage = Usage::default();
-        if tokens_delivered > 0 || !self.text_received {
+        self.usage = None;
+        let has_texts = std::mem::take(&mut self.texts_received) > 0;
+        if tokens_delivered > 0 || !has_texts {
             return OutputStart::Continues;
         }
-        self.text_received = false;
         if let Some(collected) = &mut self.text {
             collected.clear();
         }
@@ -92,14 +93,14 @@
     pub(super) fn record(&mut self, piece: Piece) -> Option<String> {
         match piece {
             Piece::Text(text) => {
-                self.text_received = true;
+                self.texts_received += 1;
                 if let Some(collected) = &mut self.text {
                     collected.push_str(&text);
                 }
                 return Some(text);
             }
             Piece::Finish(reason) => self.finish_reason = Some(reason),
-            Piece::Usage(usage) => self.usage = usage,
+            Piece::Usage(usage) => self.usage = Some(usage),
         }
         None
     }
@@ -109,13 +110,22 @@
         // The last attempt of a resumed stream prefilled the delivered text as part of its prompt, so the decode server
         // counted these tokens as prompt tokens.
         let delivered = u64::from(self.tokens_delivered);
-        let usage = Usage {
-            prompt_tokens: self.usage.prompt_tokens.saturating_sub(delivered),
-            completion_tokens: self.usage.completion_tokens + delivered,
+        let usage = match self.usage {
+            Some(usage) => Usage {
+                prompt_tokens: usage.prompt_tokens.saturating_sub(delivered),
+                completion_tokens: usage.completion_tokens + delivered,
+            },
+            None => self.estimated_usage(delivered),
         };
         let finish_reason = self.finish_reason.clone().unwrap_or_else(|| DEFAULT_FINISH_REASON.to_owned());
         FinalAnswer::Completed { finish_reason, usage }
     }
+
+    /// The token counts of an answer whose stream ended before the decode server sent them. Each text counts as one token.
+    fn estimated_usage(&self, delivered: u64) -> Usage {
+        let prompt_tokens = self.request.estimate.prompt_tokens as u64;
+        Usage { prompt_tokens, completion_tokens: self.texts_received + delivered }
+    }
 }
 
 /// Identifies the client of a request for the cancellation limits.
--- a/gateway-core/tests/buffered.rs
+++ b/gateway-core/tests/buffered.rs
@@ -229,7 +229,7 @@
     let (id, broken) = accept_and_prefill(&mut requests, buffered.clone());
     assert_eq!(requests.first_token(2 * MS, &broken.dispatch, &mut Vec::new()), OutputStart::Continues);
     requests.receive_piece(id, Piece::Text("a ".to_owned()));
-    requests.receive_piece(id, Piece::Finish("length".to_owned()));
+    requests.receive_piece(id, Piece::Usage(Usage { prompt_tokens: 9, completion_tokens: 9 }));
     let mut commands = Vec::new();
     requests.attempt_ended(3 * MS, &broken.dispatch, AttemptEnd::Reset, &mut commands);
     let prefill = sent_attempt(&commands).clone();
@@ -273,6 +273,40 @@
     assert_eq!((requests.counts().completed, requests.counts().cancelled), (2, 0));
 }
 
+/// Guards against a stream that is resumed although its finish reason has arrived: the next attempt generated text past
+/// the end of the answer.
+#[test]
+fn stream_that_breaks_after_its_finish_reason_is_complete() {
+    for (traffic, relay) in [(0, Relay::Streamed), (0, Relay::Buffered), (1, Relay::Streamed)] {
+        for falls_silent in [true, false] {
+            let mut requests = requests(10);
+            let (id, decode) = accept_and_prefill(&mut requests, Request { relay, ..request(traffic, None) });
+            let _ = requests.first_token(2 * MS, &decode.dispatch, &mut Vec::new());
+            requests.receive_piece(id, Piece::Text("a ".to_owned()));
+            requests.token_received(2 * MS, id);
+            requests.receive_piece(id, Piece::Finish("stop".to_owned()));
+            let mut commands = Vec::new();
+            match falls_silent {
+                true => {
+                    let silence_ends = requests.next_timeout().expect("the stream has a deadline");
+                    requests.on_timeout(silence_ends, &mut commands);
+                    let attempt = decode.dispatch.attempt;
+                    let cancel = Command::Cancel { id, attempt, reason: CancelReason::TimedOut };
+                    assert_eq!(commands.remove(0), cancel);
+                    requests.attempt_cancelled(silence_ends, id, attempt, &mut commands);
+                }
+                false => requests.attempt_ended(3 * MS, &decode.dispatch, AttemptEnd::Reset, &mut commands),
+            }
+            let prompt_tokens = request(traffic, None).estimate.prompt_tokens as u64;
+            let usage = Usage { prompt_tokens, completion_tokens: 1 };
+            let last = FinalAnswer::Completed { finish_reason: "stop".to_owned(), usage };
+            assert_eq!(commands, [Command::Answer { id, last }], "{relay:?}, silent: {falls_silent}");
+            requests.answer_consumed(4 * MS, id);
+            assert_eq!((requests.tracked(), requests.next_timeout()), (0, None));
+        }
+    }
+}
+
 /// Guards against a key that is forgotten before its traffic type's window is over, because its client left: the work,
 /// which may have run, ran again for the next repeat.
 #[test]
