--- a/cli/tests/common/chat.rs
+++ b/cli/tests/common/chat.rs
@@ -1,6 +1,7 @@
 //! The chat gateway as a process, with a decode server in a separate process and a scripted prefill server.
 
 use super::EVENT_TIMEOUT;
+use super::signals::suspend;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -54,10 +55,9 @@
         EmulatedServer { address: process.address, process }
     }
 
-    /// Suspends the process with SIGSTOP.
+    /// Suspends the process with SIGSTOP. No thread of it runs any more on return.
     pub fn suspend(&self) {
-        let id = self.process.child.id().to_string();
-        assert!(Command::new("kill").args(["-STOP", &id]).status().unwrap().success());
+        suspend(self.process.child.id());
     }
 }
 
@@ -204,10 +204,13 @@
 pub struct ChatClient(TcpStream);
 
 impl ChatClient {
-    /// Returns true if the response completes with no pause longer than `timeout`.
-    pub fn ends_within(mut self, timeout: Duration) -> bool {
+    /// Reads the response, and panics with the part that has arrived unless it is complete with no pause longer than
+    /// `timeout`.
+    pub fn assert_ends_within(mut self, timeout: Duration) {
         self.0.set_read_timeout(Some(timeout)).unwrap();
-        let mut text = String::new();
-        self.0.read_to_string(&mut text).is_ok() && text.contains("[DONE]")
+        let mut response = Vec::new();
+        let result = self.0.read_to_end(&mut response);
+        let response = String::from_utf8_lossy(&response);
+        assert!(result.is_ok() && response.contains("[DONE]"), "{result:?}: {response}");
     }
 }
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod chat;
 pub mod model_server_process;
 pub mod proxy;
+pub mod signals;
 
 use petrelshore_emulator::platform::{DiscoveryAgent, ModelServer, ServerBehavior, config, entry};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -319,8 +320,7 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        signals::send_signal(self.child.id(), signal);
     }
 
     pub fn connect(&self) -> TcpStream {
--- a/cli/tests/common/model_server_process.rs
+++ b/cli/tests/common/model_server_process.rs
@@ -1,6 +1,7 @@
 //! A model server in a separate process that a signal can suspend. The kernel still accepts connections and bytes for
 //! the suspended process.
 
+use super::signals::{send_signal, suspend};
 use petrelshore_emulator::platform::{ModelServer, ServerBehavior};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
@@ -50,19 +51,14 @@
         ModelServerProcess { child, address: ready.unwrap() }
     }
 
-    /// Suspends the process with SIGSTOP.
+    /// Suspends the process with SIGSTOP. No thread of it runs any more on return.
     pub fn suspend(&self) {
-        self.signal("-STOP");
+        suspend(self.child.id());
     }
 
     /// Resumes the process with SIGCONT.
     pub fn resume(&self) {
-        self.signal("-CONT");
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        send_signal(self.child.id(), "-CONT");
     }
 }
 
--- a/cli/tests/stopped_servers.rs
+++ b/cli/tests/stopped_servers.rs
@@ -140,7 +140,7 @@
         let prefill = RecordingPrefillServer::start();
         let gateway = ChatGateway::start(&format!("stopped-{pooled}"), prefill.address, decode.address);
         if pooled {
-            assert!(gateway.send_request().ends_within(EVENT_TIMEOUT));
+            gateway.send_request().assert_ends_within(EVENT_TIMEOUT);
             std::thread::sleep(REUSE_DELAY);
         }
         decode.suspend();
