Leave the release test no other server that could relay

Cause: the test's own error. Change: the decode server's connections, new ones too, are silent from the same moment, so only a new connection to the prefill server is left. Stricter: the release has to come there, within the same 0.8 s.

--- a/cli/tests/stopped_servers.rs
+++ b/cli/tests/stopped_servers.rs
@@ -165,11 +165,15 @@
     }
 }
 
-/// Starts a gateway with the prefill server at `prefill` and a decode server that answers the first request and accepts
-/// later requests without answering them.
-fn start_with_silent_decode(name: &str, prefill: SocketAddr) -> (Gateway, ModelServer, DiscoveryAgent) {
-    let decode = ModelServer::start(false, ServerBehavior::Good).unwrap();
-    let entries = [entry("p", prefill, "reader", "active"), entry("d", decode.address, "writer", "active")];
+/// Starts a gateway with the prefill server at `prefill` and a decode server that is reached at `decode_address`, answers
+/// the first request, and accepts later requests without answering them.
+fn start_with_silent_decode(
+    name: &str,
+    prefill: SocketAddr,
+    decode: &ModelServer,
+    decode_address: SocketAddr,
+) -> (Gateway, DiscoveryAgent) {
+    let entries = [entry("p", prefill, "reader", "active"), entry("d", decode_address, "writer", "active")];
     let agent = DiscoveryAgent::start(&entries.join(",")).unwrap();
     let gateway = Gateway::start(name, agent.address, &entries, with_health_checks);
     let mut first = gateway.connect();
@@ -177,19 +181,23 @@
     assert!(read_response(&mut BufReader::new(first)).2);
     std::thread::sleep(REUSE_DELAY);
     decode.set(ServerBehavior::Silent);
-    (gateway, decode, agent)
+    (gateway, agent)
 }
 
 #[test]
 fn release_is_sent_again_where_its_connection_has_fallen_silent() {
     let prefill = ModelServer::start(true, ServerBehavior::Good).unwrap();
-    let proxy = Proxy::start(prefill.address);
-    let (gateway, decode, _agent) = start_with_silent_decode("release-silent", proxy.address);
+    let decode = ModelServer::start(false, ServerBehavior::Good).unwrap();
+    let (proxy, decode_proxy) = (Proxy::start(prefill.address), Proxy::start(decode.address));
+    let (gateway, _agent) =
+        start_with_silent_decode("release-silent", proxy.address, &decode, decode_proxy.address);
     let mut client = gateway.connect();
     client.write_all(request_text(2, "").as_bytes()).unwrap();
     wait_for_request(&decode, "POST", 2);
     std::thread::sleep(REUSE_DELAY);
     proxy.silence_open_connections();
+    // The decode server could relay the release. Without it only a new connection to the prefill server is left.
+    decode_proxy.silence_all_connections();
     drop(client);
     let disconnected_at = Instant::now();
     assert_released_in_time(wait_for_request(&prefill, "DELETE", 2) - disconnected_at, "silent connection");
@@ -198,7 +206,9 @@
 #[test]
 fn release_goes_by_way_of_another_server_where_its_own_has_stopped() {
     let prefill = ModelServerProcess::start(ENTRY_POINT, Role::Prefill);
-    let (gateway, decode, _agent) = start_with_silent_decode("release-stopped", prefill.address);
+    let decode = ModelServer::start(false, ServerBehavior::Good).unwrap();
+    let (gateway, _agent) =
+        start_with_silent_decode("release-stopped", prefill.address, &decode, decode.address);
     let mut client = gateway.connect();
     client.write_all(request_text(2, "").as_bytes()).unwrap();
     wait_for_request(&decode, "POST", 2);
