--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -17,7 +17,7 @@
         self.known = {}
 
     def find(self, now, key):
-        found = self.known.get(key)
+        found = self.known.get(key) if key else None
         return found if found and now < found["at"] + self.window_s else None
 
 
@@ -71,18 +71,23 @@
             self.record.write(self.name, f"repeat of key {key}: not run, gets the end of the first")
             text = first["text"]
         else:
-            number = len(self.keys.known) + 1
+            number = len(self.executions) + 1
             text = f"entry-{number}-of-{self.name}"
             self.executions.append((body["prompt"], text))
             self.record.write(self.name, f"execution {headers.get('x-request-id')}, key {key}: {text}")
-            self.keys.known[key] = {"at": now, "work": work, "text": text}
+            if key:
+                self.keys.known[key] = {"at": now, "work": work, "text": text}
         await asyncio.sleep(self.answer_s)
         choice = {"index": 0, "text": text, "finish_reason": None}
         end = {"index": 0, "text": "", "finish_reason": "stop"}
         usage = {"prompt_tokens": 20, "completion_tokens": 1, "total_tokens": 21}
         events = [{"choices": [choice]}, {"choices": [end]}, {"choices": [], "usage": usage}]
         data = b"".join(b"data: " + json.dumps(event).encode() + b"\n\n" for event in events)
-        writer.write(EVENT_HEAD + chunk(data + b"data: [DONE]\n\n") + LAST_CHUNK)
+        return self.finish(writer, EVENT_HEAD + chunk(data + b"data: [DONE]\n\n") + LAST_CHUNK)
+
+    def finish(self, writer, answer):
+        """Writes a whole answer."""
+        writer.write(answer)
 
 
 SETTINGS = """
@@ -108,6 +113,9 @@
 }
 """
 
+# The same deployment, where the work may run again.
+REPEATABLE = SETTINGS.replace("effect = 'tokened, repeats = { scope = 'all, window = \"%(window)s\" },", "")
+
 
 def write_inventory(processes, servers):
     rows = [f"{server.name},{server.address},{kind},hall,c1\n" for server, kind in servers]
