Review: end a case's processes also when its script is ended by a signal

Cause: a script that is ended early left its gateways running. Change: the harness answers SIGTERM, SIGINT and SIGHUP with exit 2 after it has ended its processes.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -377,8 +377,14 @@
     return os.urandom(8).hex()
 
 
+def ended_early(number, _):
+    raise CannotRun(f"ended by signal {number}")
+
+
 def run_case(play):
     """Plays a case and exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended_early)
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
     record.write("case", f"TROUBLE={int(TROUBLE)}")
